--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the policy, of decisions and of capacity slopes."""
--- /dev/null
+++ b/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the workers, and a load generator."""
--- /dev/null
+++ b/kingcuptrack/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that own the daemon state and exchange messages."""
--- /dev/null
+++ b/kingcuptrack/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages, bodies and outcomes, and their codecs; no sockets."""
--- /dev/null
+++ b/kingcuptrack/state/plans.py
@@ -0,0 +1,188 @@
+"""The two lists that operators edit, and the configuration made of them."""
+
+import attrs
+
+from ..findings import Finding, Place, has_errors
+from ..ini import parse_ini
+from .jobs import GANG_TASKS_LIMIT_COUNT
+from .shapes import Shape
+
+ORGANISATIONS_FILE = "organisations.ini"
+PLANS_FILE = "plans.ini"
+
+
+@attrs.frozen(kw_only=True)
+class Plan:
+    """What a plan may use.
+
+    The guarantee is ``guaranteed_gangs_count`` gangs of ``guaranteed_tasks_count``
+    tasks of ``guaranteed_shape`` at the same time, over all data centres.
+    ``quota_accelerators_count`` limits guaranteed and borrowed use together.
+    """
+
+    name: str
+    guaranteed_gangs_count: int
+    guaranteed_tasks_count: int
+    guaranteed_shape: Shape
+    quota_accelerators_count: int
+    weight: float = 1.0
+
+
+@attrs.frozen(kw_only=True)
+class Configuration:
+    """One version of everything operators control.
+
+    ``notice_ids`` are the take-out notices that this or an earlier version has
+    recorded, newest last; a notice listed here is no longer applied by itself.
+    """
+
+    version: int
+    plans: dict[str, Plan]
+    plan_by_organisation: dict[str, str]
+    data_centres_out: frozenset[str] = frozenset()
+    notice_ids: tuple[str, ...] = ()
+    organisations_text: str = ""
+    plans_text: str = ""
+    write_token: str = ""
+
+
+EMPTY_CONFIGURATION = Configuration(version=0, plans={}, plan_by_organisation={})
+
+
+# Key: (type, default or None if required, minimum, maximum).
+_PLAN_KEYS = {
+    "guaranteed_gangs_count": (int, None, 0, 100_000),
+    "guaranteed_tasks_count": (int, None, 1, GANG_TASKS_LIMIT_COUNT),
+    "guaranteed_task_accelerators_count": (int, None, 0, 1024),
+    "guaranteed_task_cores_count": (int, None, 0, 4096),
+    "guaranteed_task_memory_bytes": (int, None, 0, 2**44),
+    "quota_accelerators_count": (int, None, 0, 1_000_000),
+    "weight": (float, 1.0, 0.01, 1000.0),
+}
+
+
+def parse_lists(organisations_text, plans_text):
+    """Parse and check both lists.
+
+    Returns
+    -------
+    configuration : Configuration or None
+        Version 0 and all data centres in service; None if there are errors.
+    findings : list of Finding
+    """
+    plans, findings = _parse_plans(plans_text)
+    plan_by_organisation, more = _parse_organisations(organisations_text, plans)
+    findings += more
+    if has_errors(findings):
+        return None, findings
+    configuration = Configuration(
+        version=0,
+        plans=plans,
+        plan_by_organisation=plan_by_organisation,
+        organisations_text=organisations_text,
+        plans_text=plans_text,
+    )
+    return configuration, findings
+
+
+def _parse_plans(text):
+    sections, findings = parse_ini(text, file=PLANS_FILE)
+    plans = {}
+    for section in sections.values():
+        name, finding = _section_name(section, "plan", file=PLANS_FILE)
+        if finding:
+            findings.append(finding)
+            continue
+        values, more = _parse_plan_values(section)
+        findings += more
+        plans[name] = None if more else _make_plan(name, values)
+    return plans, findings
+
+
+def _parse_plan_values(section):
+    values = {}
+    findings = []
+    for key, raw in section.values.items():
+        place = Place(file=PLANS_FILE, section=section.name, key=key, line=raw.line)
+        if key not in _PLAN_KEYS:
+            findings.append(Finding(place=place, message="unknown key"))
+            continue
+        kind, _, minimum, maximum = _PLAN_KEYS[key]
+        try:
+            value = kind(raw.text)
+        except ValueError:
+            message = f"{raw.text!r} is not {'a whole' if kind is int else 'a'} number"
+            findings.append(Finding(place=place, message=message))
+            continue
+        if not minimum <= value <= maximum:
+            message = f"{raw.text} is outside the range {minimum} to {maximum}"
+            findings.append(Finding(place=place, message=message))
+            continue
+        values[key] = value
+    for key, (_, default, _, _) in _PLAN_KEYS.items():
+        if key in section.values:
+            continue
+        if default is not None:
+            values[key] = default
+            continue
+        place = Place(file=PLANS_FILE, section=section.name, key=key, line=section.line)
+        findings.append(Finding(place=place, message="required key is missing"))
+    return values, findings
+
+
+def _make_plan(name, values):
+    return Plan(
+        name=name,
+        guaranteed_gangs_count=values["guaranteed_gangs_count"],
+        guaranteed_tasks_count=values["guaranteed_tasks_count"],
+        guaranteed_shape=Shape(
+            accelerators_count=values["guaranteed_task_accelerators_count"],
+            cores_count=values["guaranteed_task_cores_count"],
+            memory_bytes=values["guaranteed_task_memory_bytes"],
+        ),
+        quota_accelerators_count=values["quota_accelerators_count"],
+        weight=values["weight"],
+    )
+
+
+def _parse_organisations(text, plans):
+    sections, findings = parse_ini(text, file=ORGANISATIONS_FILE)
+    plan_by_organisation = {}
+    for section in sections.values():
+        name, finding = _section_name(section, "organisation", file=ORGANISATIONS_FILE)
+        if finding:
+            findings.append(finding)
+            continue
+        for key, raw in section.values.items():
+            if key != "plan":
+                place = Place(
+                    file=ORGANISATIONS_FILE,
+                    section=section.name,
+                    key=key,
+                    line=raw.line,
+                )
+                findings.append(Finding(place=place, message="unknown key"))
+        raw = section.values.get("plan")
+        place = Place(
+            file=ORGANISATIONS_FILE,
+            section=section.name,
+            key="plan",
+            line=raw.line if raw else section.line,
+        )
+        if raw is None:
+            findings.append(Finding(place=place, message="required key is missing"))
+        elif raw.text not in plans:
+            message = f"plan {raw.text!r} is not in {PLANS_FILE}"
+            findings.append(Finding(place=place, message=message))
+        else:
+            plan_by_organisation[name] = raw.text
+    return plan_by_organisation, findings
+
+
+def _section_name(section, kind, *, file):
+    prefix, _, name = section.name.partition(" ")
+    name = name.strip()
+    if prefix == kind and name:
+        return name, None
+    place = Place(file=file, section=section.name, line=section.line)
+    return "", Finding(place=place, message=f"expected [{kind} NAME]")
--- /dev/null
+++ b/kingcuptrack/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line programs."""
--- /dev/null
+++ b/kingcuptrack/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Clients and servers: the only code that opens sockets."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of kingcuptrack."""
