--- /dev/null
+++ b/kingcuptrack/coordination/entry.py
@@ -0,0 +1,203 @@
+"""Entry daemon: assembles the tasks and stops them gracefully."""
+
+import signal
+import time
+
+import anyio
+from loguru import logger
+
+from ..metrics import open_metrics
+from ..protocol.messages import (
+    Acknowledged,
+    GetConfiguration,
+    Heartbeat,
+    InstanceInfo,
+    PushConfiguration,
+)
+from ..transport.http_client import HttpClient
+from ..transport.http_server import HttpServer
+from ..transport.instances import InstanceListClient
+from ..transport.objects import ObjectStoreClient
+from ..transport.peers import serve_peers
+from ..transport.table import TableClient
+from ..transport.workers import WorkerClient
+from .application import make_application
+from .claims import JobTable
+from .configuration import ConfigurationKeeper
+from .front import Front
+from .gangs import GangCalls
+from .mailbox import Mailbox
+from .membership import Membership
+from .operators import Operators
+from .placer import Placer
+from .routing import Router
+
+WORKER_CONNECTIONS_COUNT = 256
+
+# A new instance waits this long for peers before it can become the placer, so that
+# it does not act beside a placer that it has not heard of yet.
+SETTLE_SECONDS = 1.0
+
+
+class Entry:
+    """All parts of one entry instance."""
+
+    def __init__(self, *, settings):
+        self._settings = settings
+        self._metrics = open_metrics(settings)
+        self._is_leaving = False
+        self._ready_seconds = time.monotonic() + SETTLE_SECONDS
+        self._platform_client = HttpClient(
+            connections_count=settings.platform_connections_count,
+            headers={"x-data-centre": settings.data_centre},
+        )
+        self._workers_client = HttpClient(connections_count=WORKER_CONNECTIONS_COUNT)
+        self._build_platform_parts()
+        self._build_scheduling_parts()
+        self._server = HttpServer(
+            application=make_application(
+                settings=settings,
+                front=self._front,
+                operators=self._operators,
+                is_ready=self._is_ready,
+            ),
+            ip=settings.listen_ip,
+            port=settings.http_port,
+            stop_timeout_seconds=settings.stop_timeout_seconds,
+        )
+
+    def _build_platform_parts(self):
+        settings = self._settings
+
+        def platform_part(kind, base_url):
+            return kind(
+                http_client=self._platform_client,
+                base_url=base_url,
+                timeout_seconds=settings.platform_timeout_seconds,
+            )
+
+        table = platform_part(TableClient, settings.table_url)
+        objects = platform_part(ObjectStoreClient, settings.objects_url)
+        instance_list = platform_part(InstanceListClient, settings.instances_url)
+        self._configuration = ConfigurationKeeper(settings=settings, table=table)
+        self._membership = Membership(
+            settings=settings,
+            instance_list=instance_list,
+            describe_self=self._describe_self,
+            exchange_notices=self._configuration.exchange_notices,
+        )
+        self._configuration.membership = self._membership
+        self._job_table = JobTable(table=table, objects=objects)
+
+    def _build_scheduling_parts(self):
+        settings = self._settings
+        self._mailbox = Mailbox()
+        self._router = Router(
+            settings=settings,
+            membership=self._membership,
+            configuration=self._configuration,
+            job_table=self._job_table,
+            mailbox=self._mailbox,
+        )
+        worker_client = WorkerClient(
+            http_client=self._workers_client,
+            timeout_seconds=settings.worker_timeout_seconds,
+        )
+        self._placer = Placer(
+            settings=settings,
+            membership=self._membership,
+            configuration=self._configuration,
+            job_table=self._job_table,
+            gang_calls=GangCalls(settings=settings, worker_client=worker_client),
+            worker_client=worker_client,
+            mailbox=self._mailbox,
+            move_job=self._router.move_job,
+            metrics=self._metrics,
+        )
+        self._front = Front(
+            settings=settings,
+            membership=self._membership,
+            configuration=self._configuration,
+            job_table=self._job_table,
+            router=self._router,
+        )
+        self._operators = Operators(
+            settings=settings,
+            membership=self._membership,
+            configuration=self._configuration,
+            router=self._router,
+        )
+
+    async def run(self):
+        """Run until a termination signal, then stop gracefully."""
+        settings = self._settings
+        async with anyio.create_task_group() as background:
+            await background.start(self._membership.run)
+            background.start_soon(self._configuration.run)
+            background.start_soon(self._placer.run)
+            await background.start(self._serve_peers)
+            async with anyio.create_task_group() as serving:
+                await serving.start(self._server.run)
+                logger.bind(
+                    http=f"{settings.listen_ip}:{settings.http_port}",
+                    data_centre=settings.data_centre,
+                ).info("entry instance serving")
+                await _wait_for_signal()
+                await self._stop()
+            background.cancel_scope.cancel()
+        logger.info("entry instance stopped")
+
+    async def _stop(self):
+        """Leave: hand the placer role over and answer every open request."""
+        logger.info("entry instance leaving")
+        self._is_leaving = True
+        self._front.is_stopping.set()
+        await self._membership.register(is_leaving=True)
+        await self._membership.announce()
+        # The balancer follows a lagging list and still sends requests meanwhile;
+        # they get an answer instead of a refused connection.
+        await anyio.sleep(self._settings.stop_notice_seconds)
+        self._server.stop()
+
+    async def _serve_peers(self, *, task_status=anyio.TASK_STATUS_IGNORED):
+        await serve_peers(
+            self._handle_peer,
+            ip=self._settings.listen_ip,
+            port=self._settings.peer_port,
+            task_status=task_status,
+        )
+
+    async def _handle_peer(self, message):
+        if isinstance(message, Heartbeat):
+            return self._membership.heard(message)
+        if isinstance(message, GetConfiguration):
+            return PushConfiguration(configuration=self._configuration.current)
+        if isinstance(message, PushConfiguration):
+            self._configuration.apply(message.configuration)
+            return Acknowledged()
+        return await self._mailbox.call(message)
+
+    def _is_ready(self):
+        return self._configuration.is_ready and not self._is_leaving
+
+    def _describe_self(self, sequence):
+        settings = self._settings
+        default_address = f"{settings.listen_ip}:{settings.peer_port}"
+        is_settled = time.monotonic() >= self._ready_seconds
+        return InstanceInfo(
+            instance_id=settings.instance_id,
+            data_centre=settings.data_centre,
+            peer_address=settings.advertised_peer_address or default_address,
+            sequence=sequence,
+            is_ready=self._configuration.is_ready and is_settled,
+            is_leaving=self._is_leaving,
+            configuration_version=self._configuration.current.version,
+            notice_ids=tuple(self._configuration.notices),
+            summary=self._placer.summary,
+        )
+
+
+async def _wait_for_signal():
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            return
--- /dev/null
+++ b/kingcuptrack/coordination/front.py
@@ -0,0 +1,356 @@
+"""Front: serves callers from any instance."""
+
+import time
+import uuid
+
+import anyio
+import attrs
+
+from ..logs import log_decision
+from ..outcomes import Done, Refused, Unknown
+from ..protocol.bodies import OUTCOME_BY_PHASE, JobBody, TaskResultBody
+from ..protocol.messages import AwaitJob, CancelJob, SubmitJob
+from ..state.jobs import (
+    FINAL_PHASES,
+    JobRow,
+    Phase,
+    make_job_id,
+    spec_digest,
+)
+from .routing import TRIES_COUNT
+
+# Pause before a placer is asked again after a takeover or a lost answer.
+ASK_AGAIN_SECONDS = 0.3
+
+STATUS_BY_CODE = {
+    "unknown_organisation": 422,
+    "never_fits": 422,
+    "key_conflict": 409,
+    "queue_full": 429,
+}
+
+
+@attrs.frozen(kw_only=True)
+class Reply:
+    """HTTP status and body for a caller."""
+
+    status: int
+    body: JobBody
+
+
+class Front:
+    """Handles requests of callers."""
+
+    def __init__(self, *, settings, membership, configuration, job_table, router):
+        self._settings = settings
+        self._membership = membership
+        self._configuration = configuration
+        self._job_table = job_table
+        self._router = router
+        self.is_stopping = anyio.Event()
+        # Jobs held in memory only: the data centre whose placer holds each.
+        self._unrecorded = {}
+
+    async def submit(self, spec, *, wait_seconds):
+        """Accept a job and wait for its outcome at most ``wait_seconds``."""
+        if not spec.idempotency_key:
+            spec = attrs.evolve(spec, idempotency_key=str(uuid.uuid4()))
+        job_id = make_job_id(spec.organisation, spec.idempotency_key)
+        refusal = self._check_acceptance(spec)
+        if refusal is not None:
+            return _not_run(job_id, refusal)
+        choice = self._router.choose(spec, job_id)
+        if choice is None:
+            refusal = Refused(
+                code="no_placer",
+                message="no data centre in service has a placer",
+                retry_after_seconds=1.0,
+            )
+            return await self._refuse_unless_recorded(job_id, spec, refusal)
+        row = JobRow(job_id=job_id, spec=spec, phase=Phase.QUEUED, data_centre=choice)
+        outcome = await self._insert(row)
+        if isinstance(outcome, Done):
+            return await self._submit_recorded(outcome.value, wait_seconds)
+        if isinstance(outcome, Refused) and outcome.code == "conflict":
+            return await self._join_existing(outcome.detail, spec, wait_seconds)
+        return await self._submit_unrecorded(row, outcome, wait_seconds)
+
+    async def read(self, job_id, *, wait_seconds):
+        """Answer about a job, waiting at most ``wait_seconds`` for its outcome."""
+        deadline_seconds = time.monotonic() + wait_seconds
+        reply = None
+        while True:
+            remaining_seconds = max(0.0, deadline_seconds - time.monotonic())
+            reply = await self._read_once(job_id, remaining_seconds)
+            is_over = time.monotonic() >= deadline_seconds
+            if reply.body.outcome != "pending" or is_over:
+                return reply
+            if self.is_stopping.is_set():
+                return reply
+            await anyio.sleep(min(ASK_AGAIN_SECONDS, remaining_seconds))
+
+    async def cancel(self, job_id):
+        """Cancel a job; the answer says whether it may have run."""
+        read = await self._job_table.read(job_id)
+        data_centre = self._unrecorded.get(job_id)
+        if isinstance(read, Done) and read.value is not None:
+            row = read.value.row
+            if row.phase in FINAL_PHASES:
+                return await self._reply_row(row)
+            data_centre = row.data_centre
+        if data_centre is None:
+            data_centre = await self._find_data_centre(job_id)
+        if data_centre is None:
+            return _missing(job_id, read)
+        # Stopping a gang waits for the leases of workers that do not answer.
+        timeout_seconds = 2 * self._settings.lease_seconds
+        outcome = await self._router.ask_placer(
+            data_centre, CancelJob(job_id=job_id), timeout_seconds=timeout_seconds
+        )
+        if isinstance(outcome, Done) and outcome.value and outcome.value.is_known:
+            return _reply_answer(outcome.value)
+        return _pending(job_id, "cancellation not confirmed; try again")
+
+    def _check_acceptance(self, spec):
+        if self.is_stopping.is_set():
+            return Refused(
+                code="leaving",
+                message="this instance is leaving; try another",
+                retry_after_seconds=0.1,
+            )
+        configuration = self._configuration.current
+        if not self._configuration.is_ready:
+            return Refused(
+                code="not_ready",
+                message="no configuration known yet",
+                retry_after_seconds=1.0,
+            )
+        if spec.organisation not in configuration.plan_by_organisation:
+            return Refused(code="unknown_organisation", message=spec.organisation)
+        return None
+
+    async def _insert(self, row):
+        if row.spec.is_repeatable and self._configuration.is_table_silent():
+            return Refused(code="unavailable", message="the table does not answer")
+        return await self._job_table.insert(row)
+
+    async def _submit_recorded(self, current, wait_seconds):
+        outcome, current = await self._router.submit_recorded(current)
+        if isinstance(outcome, Refused):
+            return await self._record_refusal(current, outcome)
+        return await self.read(current.row.job_id, wait_seconds=wait_seconds)
+
+    async def _record_refusal(self, current, refusal):
+        """Make the row final before the caller is told that the job did not run."""
+        reason = f"{refusal.code}: {refusal.message}"
+        row = attrs.evolve(current.row, phase=Phase.REFUSED, reason=reason)
+        outcome = await self._job_table.write(row, expected_version=current.version)
+        if isinstance(outcome, Done):
+            await self._job_table.close_entry(row)
+            return _not_run(row.job_id, refusal)
+        return await self.read(row.job_id, wait_seconds=0.0)
+
+    async def _refuse_unless_recorded(self, job_id, spec, refusal):
+        """Refuse a submission unless an earlier one of the same key was accepted."""
+        read = await self._job_table.read(job_id)
+        if isinstance(read, Done) and read.value is not None:
+            return await self._join_existing(read.value, spec, 0.0)
+        if isinstance(read, Done):
+            return _not_run(job_id, refusal)
+        message = f"{refusal.message}; the table cannot tell about earlier tries"
+        return _unknown(job_id, message)
+
+    async def _join_existing(self, current, spec, wait_seconds):
+        row = current.row
+        if spec_digest(row.spec) != spec_digest(spec):
+            refusal = Refused(
+                code="key_conflict",
+                message="the idempotency key belongs to a job with another body",
+            )
+            return _not_run(row.job_id, refusal)
+        log_decision(
+            "routing",
+            choice=row.data_centre,
+            reason="idempotency key is known",
+            job_id=row.job_id,
+            organisation=spec.organisation,
+        )
+        if row.phase == Phase.QUEUED:
+            # The instance that inserted the row may have died before handing it on.
+            return await self._submit_recorded(current, wait_seconds)
+        return await self.read(row.job_id, wait_seconds=wait_seconds)
+
+    async def _submit_unrecorded(self, row, outcome, wait_seconds):
+        """Run a repeatable job without the table; refuse any other."""
+        spec = row.spec
+        if not spec.is_repeatable:
+            message = f"a job that is not repeatable needs the table: {outcome.message}"
+            if isinstance(outcome, Unknown):
+                return _unknown(row.job_id, message)
+            refusal = Refused(
+                code="unavailable", message=message, retry_after_seconds=2.0
+            )
+            return _not_run(row.job_id, refusal)
+        data_centre = row.data_centre
+        excluded = set()
+        message = SubmitJob(job_id=row.job_id, spec=spec, row_version=0)
+        for _ in range(TRIES_COUNT):
+            submitted = await self._router.submit(data_centre, message)
+            if isinstance(submitted, Done):
+                self._unrecorded[row.job_id] = data_centre
+                return await self.read(row.job_id, wait_seconds=wait_seconds)
+            if isinstance(submitted, Unknown):
+                return _unknown(row.job_id, submitted.message)
+            excluded.add(data_centre)
+            data_centre = self._router.choose(spec, row.job_id, excluded=excluded)
+            if data_centre is None:
+                break
+        if isinstance(outcome, Unknown):
+            # The lost insertion may still lead a placer to the job.
+            return _unknown(row.job_id, submitted.message)
+        return _not_run(row.job_id, submitted)
+
+    async def _read_once(self, job_id, wait_seconds):
+        data_centre = self._unrecorded.get(job_id)
+        read = None
+        if data_centre is None:
+            read = await self._job_table.read(job_id)
+            if not isinstance(read, Done):
+                return await self._search_placers(job_id, read, wait_seconds)
+            if read.value is None:
+                return await self._search_placers(job_id, read, wait_seconds)
+            row = read.value.row
+            if row.phase in FINAL_PHASES:
+                return await self._reply_row(row)
+            data_centre = row.data_centre
+        answer = await self._await_at_placer(data_centre, job_id, wait_seconds)
+        if answer is not None:
+            return _reply_answer(answer)
+        if data_centre == self._unrecorded.get(job_id):
+            return await self._search_placers(job_id, None, 0.0)
+        return _pending(job_id, "waiting for the placer", durability="table")
+
+    async def _await_at_placer(self, data_centre, job_id, wait_seconds):
+        """Return the answer of a placer, or None if it does not know the job."""
+        message = AwaitJob(job_id=job_id, wait_seconds=wait_seconds)
+        timeout_seconds = wait_seconds + self._settings.peer_call_timeout_seconds
+        outcome = None
+        async with anyio.create_task_group() as task_group:
+
+            async def watch_stop():
+                await self.is_stopping.wait()
+                # A stopping instance answers open long polls with what it knows.
+                task_group.cancel_scope.cancel()
+
+            task_group.start_soon(watch_stop)
+            outcome = await self._router.ask_placer(
+                data_centre, message, timeout_seconds=timeout_seconds
+            )
+            task_group.cancel_scope.cancel()
+        is_known = (
+            isinstance(outcome, Done)
+            and outcome.value is not None
+            and outcome.value.is_known
+        )
+        return outcome.value if is_known else None
+
+    async def _search_placers(self, job_id, read, wait_seconds):
+        """Ask every reachable placer about a job that the table cannot tell about."""
+        for candidate in self._router.candidates():
+            answer = await self._await_at_placer(
+                candidate.data_centre, job_id, wait_seconds
+            )
+            if answer is not None:
+                return _reply_answer(answer)
+        if read is None:
+            row_read = await self._job_table.read(job_id)
+            if isinstance(row_read, Done) and row_read.value is not None:
+                return await self._reply_row(row_read.value.row)
+        return _missing(job_id, read)
+
+    async def _find_data_centre(self, job_id):
+        """Return the data centre whose placer knows a job, or None."""
+        for candidate in self._router.candidates():
+            answer = await self._await_at_placer(candidate.data_centre, job_id, 0.0)
+            if answer is not None:
+                return candidate.data_centre
+        return None
+
+    async def _reply_row(self, row):
+        if row.phase not in FINAL_PHASES:
+            return _pending(row.job_id, "waiting for the placer", durability="table")
+        results = await self._job_table.read_results(row)
+        if not isinstance(results, Done):
+            message = f"done; results not readable yet: {results.message}"
+            return _pending(row.job_id, message, durability="table")
+        body = JobBody(
+            job_id=row.job_id,
+            outcome=OUTCOME_BY_PHASE[row.phase],
+            phase=row.phase,
+            reason=row.reason,
+            durability="table",
+            attempt=row.attempt,
+            results=_result_bodies(results.value),
+        )
+        return Reply(status=200, body=body)
+
+
+def _missing(job_id, read):
+    """Reply about a job that no placer knows, given the outcome of a row read."""
+    if isinstance(read, Done):
+        body = JobBody(
+            job_id=job_id, outcome="unknown", code="unknown_job", reason="no such job"
+        )
+        return Reply(status=404, body=body)
+    return _unknown(job_id, "neither the table nor a placer answers for it")
+
+
+def _reply_answer(answer):
+    outcome = OUTCOME_BY_PHASE[Phase(answer.phase)]
+    body = JobBody(
+        job_id=answer.job_id,
+        outcome=outcome,
+        phase=answer.phase,
+        reason=answer.reason,
+        durability="table" if answer.is_recorded else "memory",
+        attempt=answer.attempt,
+        results=_result_bodies(answer.results),
+    )
+    return Reply(status=202 if outcome == "pending" else 200, body=body)
+
+
+def _result_bodies(results):
+    return tuple(
+        TaskResultBody(
+            task_index=result.task_index,
+            body=result.body,
+            length_bytes=result.length_bytes,
+            sha256=result.sha256,
+        )
+        for result in results
+    )
+
+
+def _pending(job_id, reason, durability="memory"):
+    body = JobBody(
+        job_id=job_id, outcome="pending", reason=reason, durability=durability
+    )
+    return Reply(status=202, body=body)
+
+
+def _unknown(job_id, reason):
+    body = JobBody(
+        job_id=job_id, outcome="unknown", reason=reason, retry_after_seconds=1.0
+    )
+    return Reply(status=503, body=body)
+
+
+def _not_run(job_id, refusal):
+    body = JobBody(
+        job_id=job_id,
+        outcome="not_run",
+        code=refusal.code,
+        reason=refusal.message,
+        retry_after_seconds=refusal.retry_after_seconds,
+    )
+    return Reply(status=STATUS_BY_CODE.get(refusal.code, 503), body=body)
--- /dev/null
+++ b/kingcuptrack/coordination/mailbox.py
@@ -0,0 +1,54 @@
+"""Mailboxes: requests to a task that owns its state."""
+
+import math
+
+import anyio
+import attrs
+
+
+@attrs.define(kw_only=True)
+class Request:
+    """A message with a place for its answer."""
+
+    message: object
+    answer: object = None
+    answered: anyio.Event = attrs.field(factory=anyio.Event)
+
+    def reply(self, answer):
+        """Give the answer; only the first one counts."""
+        if not self.answered.is_set():
+            self.answer = answer
+            self.answered.set()
+
+
+class Mailbox:
+    """Unbounded queue of requests and events; the owner's limits bound its use."""
+
+    def __init__(self):
+        self._send_stream, self._receive_stream = anyio.create_memory_object_stream(
+            math.inf
+        )
+
+    def post(self, message):
+        """Queue an event that needs no answer."""
+        self._send_stream.send_nowait(Request(message=message))
+
+    async def call(self, message):
+        """Queue a request and wait for its answer."""
+        request = Request(message=message)
+        self._send_stream.send_nowait(request)
+        await request.answered.wait()
+        return request.answer
+
+    async def receive(self, *, timeout_seconds):
+        """Return the next request, or None after the timeout."""
+        with anyio.move_on_after(timeout_seconds):
+            return await self._receive_stream.receive()
+        return None
+
+    def receive_nowait(self):
+        """Return the next request, or None if there is none."""
+        try:
+            return self._receive_stream.receive_nowait()
+        except anyio.WouldBlock:
+            return None
--- /dev/null
+++ b/kingcuptrack/coordination/routing.py
@@ -0,0 +1,191 @@
+"""Routing of jobs to data centres by compact, lagging capacity summaries."""
+
+import attrs
+
+from ..logs import log_decision
+from ..outcomes import Done, Refused, Unknown
+from ..protocol.messages import SubmitJob
+
+# Data centres tried for one job before the caller is told that it was not run.
+TRIES_COUNT = 3
+
+
+@attrs.frozen(kw_only=True)
+class Candidate:
+    """A data centre with a live placer."""
+
+    data_centre: str
+    placer_id: str
+    summary: object
+
+
+def rank_candidates(candidates, spec, *, own_data_centre):
+    """Return candidates in the order to try.
+
+    First those where the job fits into free capacity, the own data centre before
+    others; then those with the shortest queue per accelerator.
+    """
+    needed_count = spec.tasks_count * spec.shape.accelerators_count
+
+    def sort_key(candidate):
+        summary = candidate.summary
+        fits_now = summary.free_accelerators_count >= needed_count
+        load = summary.waiting_jobs_count / max(1, summary.total_accelerators_count)
+        return (
+            not fits_now,
+            0.0 if fits_now else round(load, 3),
+            candidate.data_centre != own_data_centre,
+            load,
+            candidate.data_centre,
+        )
+
+    return sorted(candidates, key=sort_key)
+
+
+class Router:
+    """Chooses a data centre for a job and hands the job to its placer."""
+
+    def __init__(self, *, settings, membership, configuration, job_table, mailbox):
+        self._settings = settings
+        self._membership = membership
+        self._configuration = configuration
+        self._job_table = job_table
+        self._mailbox = mailbox
+
+    def candidates(self, *, excluded=()):
+        """Return the data centres in service that have a live placer."""
+        out = self._configuration.data_centres_out()
+        names = {info.data_centre for info in self._membership.live_instances()}
+        candidates = []
+        for name in sorted(names - out - set(excluded)):
+            placer = self._membership.placer_of(name)
+            if placer is not None and placer.summary is not None:
+                candidates.append(
+                    Candidate(
+                        data_centre=name,
+                        placer_id=placer.instance_id,
+                        summary=placer.summary,
+                    )
+                )
+        return candidates
+
+    def choose(self, spec, job_id, *, excluded=()):
+        """Return the data centre to try next, or None; logs the decision."""
+        ranked = rank_candidates(
+            self.candidates(excluded=excluded),
+            spec,
+            own_data_centre=self._settings.data_centre,
+        )
+        choice = ranked[0].data_centre if ranked else None
+        log_decision(
+            "routing",
+            choice=choice,
+            reason="fits free capacity, then least load" if ranked else "none left",
+            runners_up=[candidate.data_centre for candidate in ranked[1:]],
+            job_id=job_id,
+            organisation=spec.organisation,
+        )
+        return choice
+
+    async def ask_placer(self, data_centre, message, *, timeout_seconds):
+        """Send a request to the placer of a data centre.
+
+        Returns
+        -------
+        Done, Refused or Unknown
+            Refused with code ``no_placer`` if none is known.
+        """
+        placer = self._membership.placer_of(data_centre)
+        if placer is None:
+            return Refused(code="no_placer", message=data_centre)
+        if placer.instance_id == self._settings.instance_id:
+            return Done(value=await self._mailbox.call(message))
+        return await self._membership.call(
+            placer, message, timeout_seconds=timeout_seconds
+        )
+
+    async def submit(self, data_centre, message):
+        """Hand a job to a placer; Refused means that it does not hold the job."""
+        outcome = await self.ask_placer(
+            data_centre,
+            message,
+            timeout_seconds=self._settings.peer_call_timeout_seconds,
+        )
+        if not isinstance(outcome, Done):
+            return outcome
+        answer = outcome.value
+        if answer is None:
+            return Unknown(message="the placer is changing")
+        if answer.is_accepted:
+            return Done()
+        return Refused(
+            code=answer.code,
+            message=answer.message,
+            retry_after_seconds=answer.retry_after_seconds,
+        )
+
+    async def submit_recorded(self, current):
+        """Hand a recorded job to a placer, trying other data centres on refusal.
+
+        Returns
+        -------
+        outcome : Done, Refused or Unknown
+            Unknown if a placer may hold it; the row then leads it to the job.
+        current : VersionedJob
+            The row as it is now.
+        """
+        excluded = set()
+        outcome = Refused(code="no_placer", message="no data centre can take the job")
+        for _ in range(TRIES_COUNT):
+            row = current.row
+            outcome = await self.submit(
+                row.data_centre,
+                SubmitJob(
+                    job_id=row.job_id,
+                    spec=row.spec,
+                    row_version=current.version,
+                    attempt=row.attempt,
+                ),
+            )
+            if not isinstance(outcome, Refused):
+                return outcome, current
+            excluded.add(row.data_centre)
+            choice = self.choose(row.spec, row.job_id, excluded=excluded)
+            if choice is None:
+                return outcome, current
+            moved = await self._job_table.move(current, choice)
+            if not isinstance(moved, Done):
+                return Unknown(message=moved.message), current
+            current = moved.value
+        return outcome, current
+
+    async def move_job(self, job):
+        """Move a waiting job of a placer to another data centre.
+
+        Returns
+        -------
+        bool
+            False if it has to stay.
+        """
+        own = self._settings.data_centre
+        choice = self.choose(job.spec, job.job_id, excluded={own})
+        if choice is None:
+            return False
+        row_version = 0
+        if job.row_version:
+            read = await self._job_table.read(job.job_id)
+            if not isinstance(read, Done) or read.value is None:
+                return False
+            moved = await self._job_table.move(read.value, choice)
+            if not isinstance(moved, Done):
+                return False
+            row_version = moved.value.version
+        message = SubmitJob(
+            job_id=job.job_id,
+            spec=job.spec,
+            row_version=row_version,
+            attempt=job.token,
+        )
+        outcome = await self.submit(choice, message)
+        # A recorded job is found by the scan of its new data centre.
+        return isinstance(outcome, Done) or row_version > 0
--- /dev/null
+++ b/kingcuptrack/coordination/takeover.py
@@ -0,0 +1,200 @@
+"""Takeover: rebuilds the state of a data centre from its workers and the table."""
+
+import time
+
+import anyio
+from loguru import logger
+
+from ..outcomes import Done
+from ..protocol.codecs import json_converter
+from ..state.jobs import JobSpec, Phase
+from ..state.scheduling import (
+    PlacedGang,
+    QueuedJob,
+    adopt_gang,
+    set_configuration,
+)
+from ..transport.workers import GangKey
+from .gangs import GangRun, Member
+
+# Bounds the requests in flight of a takeover.
+READS_AT_ONCE_COUNT = 16
+
+
+async def rebuild(placer):
+    """Fill an empty placer; costs one request per worker and per open job."""
+    started_seconds = time.monotonic()
+    set_configuration(placer.scheduler, placer.configuration.current)
+    states = await _read_workers(placer)
+    outcome = await placer.job_table.list_open(placer.settings.data_centre)
+    rows = {}
+    if isinstance(outcome, Done):
+        rows = {current.row.job_id: current for current in outcome.value}
+    else:
+        logger.warning("open jobs not listed, using workers only: {}", outcome)
+    found = _group_gangs(states)
+    for current in rows.values():
+        if current.row.phase == Phase.CLAIMED:
+            await resolve_claimed(
+                placer, current, found.pop(current.row.job_id, {}), states
+            )
+        else:
+            await _fence_unclaimed(placer, found.pop(current.row.job_id, {}), states)
+            placer.take_in_row(current)
+    for job_id, gangs in found.items():
+        await _resolve_unlisted(placer, job_id, gangs, states)
+    placer.metrics.timing("takeover", 1000.0 * (time.monotonic() - started_seconds))
+    logger.bind(
+        workers_count=len(states),
+        jobs_count=len(placer.jobs),
+        duration_seconds=time.monotonic() - started_seconds,
+    ).info("takeover finished")
+
+
+async def resolve_claimed(placer, current, gangs, states=None):
+    """Adopt the claimed attempt of a row if it is whole, else stop it.
+
+    Parameters
+    ----------
+    placer : Placer
+    current : VersionedJob
+    gangs : dict of str to GangState
+        What the workers reported of the job, by worker id.
+    states : dict of str to (address, WorkerState), optional
+        Read anew from the workers if not given.
+    """
+    row = current.row
+    if states is None:
+        states = await _read_workers(placer)
+        gangs = _group_gangs(states).get(row.job_id, {})
+    job = placer.open_job(
+        row.job_id, row.spec, row_version=current.version, token=row.attempt
+    )
+    key = GangKey(job_id=row.job_id, token=row.attempt, holder=row.owner_id)
+    is_guaranteed = any(
+        gang.details.get("is_guaranteed", False) for gang in gangs.values()
+    )
+    run = _make_run(placer, job, key, row.worker_ids, is_guaranteed, gangs, states)
+    _attach(placer, job, run)
+
+
+async def _resolve_unlisted(placer, job_id, gangs, states):
+    """Resolve gangs that no open row names: held in memory only, or final."""
+    read = await placer.job_table.read(job_id)
+    if isinstance(read, Done) and read.value is not None:
+        # The row is final or belongs to another data centre.
+        await _fence_unclaimed(placer, gangs, states)
+        return
+    token = max(gang.token for gang in gangs.values())
+    newest = next(gang for gang in gangs.values() if gang.token == token)
+    spec = json_converter.structure(newest.details["spec"], JobSpec)
+    job = placer.open_job(
+        job_id, spec, row_version=newest.details["row_version"], token=token
+    )
+    key = GangKey(job_id=job_id, token=token, holder=newest.holder)
+    worker_ids = tuple(newest.details["worker_ids"])
+    is_guaranteed = newest.details["is_guaranteed"]
+    run = _make_run(placer, job, key, worker_ids, is_guaranteed, gangs, states)
+    _attach(placer, job, run)
+
+
+def _make_run(placer, job, key, worker_ids, is_guaranteed, gangs, states):
+    now_seconds = time.monotonic()
+    lease_seconds = placer.settings.lease_seconds
+    margin_seconds = placer.settings.lease_margin_seconds
+    gang = PlacedGang(
+        job=QueuedJob(
+            job_id=job.job_id,
+            spec=job.spec,
+            queued_seconds=job.queued_seconds,
+            attempt=key.token,
+        ),
+        worker_ids=worker_ids,
+        is_guaranteed=is_guaranteed,
+        placed_seconds=now_seconds,
+    )
+    members = {}
+    for worker_id in dict.fromkeys(worker_ids):
+        address, state = states.get(worker_id, ("", None))
+        if not address:
+            listed = placer.membership.listed.get(worker_id)
+            address = listed.address if listed is not None else ""
+        gang_state = gangs.get(worker_id)
+        is_current = gang_state is not None and gang_state.token == key.token
+        phase = gang_state.phase if is_current else "absent"
+        members[worker_id] = Member(
+            worker_id=worker_id,
+            address=address,
+            incarnation=state.incarnation if state is not None else "",
+            task_indices=tuple(
+                index for index, name in enumerate(worker_ids) if name == worker_id
+            ),
+            phase=phase,
+            tasks={task.task_index: task for task in gang_state.tasks}
+            if is_current
+            else {},
+            safe_until_seconds=now_seconds
+            + (gang_state.lease_remaining_seconds if is_current else 0.0)
+            - margin_seconds,
+            lapsed_by_seconds=now_seconds + lease_seconds + margin_seconds,
+            # Only a worker that still shows the bare reservation has surely not
+            # started its tasks.
+            may_have_started=phase != "reserved",
+        )
+    return GangRun(gang=gang, key=key, members=members)
+
+
+def _attach(placer, job, run):
+    phases = {member.phase for member in run.members.values()}
+    adopt_gang(placer.scheduler, run.gang)
+    if phases <= {"running", "finished"}:
+        run.started_seconds = time.monotonic()
+        job.status = "running"
+    else:
+        job.status = "stopping"
+        run.request_stop(f"takeover found tasks {sorted(phases)}")
+    logger.bind(
+        job_id=job.job_id, token=run.key.token, stop_reason=run.stop_reason
+    ).info("attempt adopted")
+    placer.attach_run(job, run)
+
+
+async def _fence_unclaimed(placer, gangs, states):
+    """Stop attempts that no row claims, so that they can never start."""
+    async with anyio.create_task_group() as task_group:
+        for worker_id, gang in gangs.items():
+            address, _ = states[worker_id]
+            key = GangKey(job_id=gang.job_id, token=gang.token, holder=gang.holder)
+            task_group.start_soon(placer.worker_client.stop, address, key)
+
+
+def _group_gangs(states):
+    """Return the newest gang of each job at each worker: job id to worker id."""
+    found = {}
+    for worker_id, (_, state) in states.items():
+        for gang in state.gangs:
+            if gang.phase in ("stopped", "lapsed"):
+                continue
+            by_worker = found.setdefault(gang.job_id, {})
+            known = by_worker.get(worker_id)
+            if known is None or gang.token > known.token:
+                by_worker[worker_id] = gang
+    return found
+
+
+async def _read_workers(placer):
+    """Return address and state of every listed worker that answers, by id."""
+    states = {}
+    limiter = anyio.CapacityLimiter(READS_AT_ONCE_COUNT)
+
+    async def read_worker(listed):
+        async with limiter:
+            outcome = await placer.worker_client.read_state(listed.address)
+        if isinstance(outcome, Done):
+            states[listed.instance_id] = (listed.address, outcome.value)
+            placer.watch.observe_state(listed.address, outcome.value)
+
+    async with anyio.create_task_group() as task_group:
+        for listed in placer.membership.listed_workers().values():
+            task_group.start_soon(read_worker, listed)
+    return states
--- /dev/null
+++ b/kingcuptrack/coordination/watchers.py
@@ -0,0 +1,171 @@
+"""Watchers: one task per worker that renews its leases and reads its state."""
+
+import time
+
+import anyio
+from loguru import logger
+
+from ..outcomes import Done, Refused
+from ..state.scheduling import remove_worker, set_worker
+from ..state.shapes import Worker
+
+# A gang is polled again after this part of its run time so far, so that the delay
+# between the end of a task and its answer stays in proportion to the run time.
+POLL_FRACTION = 0.15
+POLL_MINIMUM_SECONDS = 0.05
+
+
+class WorkerWatch:
+    """Watches the listed workers of the data centre for its placer."""
+
+    def __init__(self, *, placer, task_group):
+        self._placer = placer
+        self._settings = placer.settings
+        self._task_group = task_group
+        self._runs = {}
+        self._wakeups = {}
+        self._known_workers = {}
+
+    def add_run(self, run):
+        """Renew the leases of an attempt from now on."""
+        for worker_id in run.members:
+            self._runs.setdefault(worker_id, {})[run.job_id] = run
+
+    def remove_run(self, run):
+        """Stop renewing the leases of an attempt."""
+        for worker_id in run.members:
+            runs = self._runs.get(worker_id, {})
+            if runs.get(run.job_id) is run:
+                del runs[run.job_id]
+
+    def poll_soon(self, run):
+        """Let the watchers of a gang compute their next poll anew."""
+        for worker_id in run.members:
+            if worker_id in self._wakeups:
+                self._wakeups[worker_id].set()
+
+    def update_workers(self):
+        """Follow the platform's list: watch new workers, mark leaving ones."""
+        listed_workers = self._placer.membership.listed_workers()
+        for worker_id, listed in listed_workers.items():
+            if worker_id not in self._wakeups:
+                self._wakeups[worker_id] = anyio.Event()
+                self._task_group.start_soon(self._watch, worker_id)
+            worker = self._known_workers.get(worker_id)
+            if worker is not None and listed.is_leaving and not worker.is_leaving:
+                self.observe_worker(_replace_leaving(worker, True))
+
+    def observe_worker(self, worker):
+        """Store what is known of a worker and tell the scheduler."""
+        self._known_workers[worker.worker_id] = worker
+        set_worker(self._placer.scheduler, worker)
+
+    def observe_state(self, address, state):
+        """Store the state that a worker reported; return its `Worker`."""
+        listed = self._placer.membership.listed.get(state.worker_id)
+        worker = Worker(
+            worker_id=state.worker_id,
+            data_centre=state.data_centre,
+            rack=state.rack,
+            address=address,
+            incarnation=state.incarnation,
+            capacity=state.capacity,
+            is_leaving=state.is_leaving or (listed is not None and listed.is_leaving),
+        )
+        if worker != self._known_workers.get(worker.worker_id):
+            self.observe_worker(worker)
+        return worker
+
+    async def _watch(self, worker_id):
+        failures_count = 0
+        while True:
+            listed = self._placer.membership.listed.get(worker_id)
+            runs = dict(self._runs.get(worker_id, {}))
+            if listed is None and not runs:
+                break
+            if runs:
+                is_answered = await self._renew(worker_id, runs)
+            else:
+                is_answered = await self._read_state(worker_id, listed.address)
+            failures_count = 0 if is_answered else failures_count + 1
+            if failures_count >= 2 and not self._runs.get(worker_id):
+                self._forget(worker_id)
+            await self._pause(worker_id)
+        self._forget(worker_id)
+        del self._wakeups[worker_id]
+
+    def _forget(self, worker_id):
+        if self._known_workers.pop(worker_id, None) is not None:
+            remove_worker(self._placer.scheduler, worker_id)
+
+    async def _pause(self, worker_id):
+        runs = self._runs.get(worker_id, {})
+        now_seconds = time.monotonic()
+        interval_seconds = self._settings.worker_poll_interval_seconds
+        if runs:
+            interval_seconds = self._settings.renewal_interval_seconds
+        elif worker_id not in self._known_workers:
+            interval_seconds = min(1.0, interval_seconds)
+        for run in runs.values():
+            if run.started_seconds:
+                running_seconds = now_seconds - run.started_seconds
+                poll_seconds = max(
+                    POLL_MINIMUM_SECONDS, POLL_FRACTION * running_seconds
+                )
+                interval_seconds = min(interval_seconds, poll_seconds)
+        wakeup = anyio.Event()
+        self._wakeups[worker_id] = wakeup
+        with anyio.move_on_after(interval_seconds):
+            await wakeup.wait()
+
+    async def _renew(self, worker_id, runs):
+        """Renew all leases at a worker in one request."""
+        address = next(iter(runs.values())).members[worker_id].address
+        sent_seconds = time.monotonic()
+        outcome = await self._placer.worker_client.renew(
+            address,
+            [run.key for run in runs.values()],
+            lease_seconds=self._settings.lease_seconds,
+        )
+        if not isinstance(outcome, Done):
+            if not isinstance(outcome, Refused):
+                for run in runs.values():
+                    self._placer.gang_calls.note_lease(
+                        run.members[worker_id], sent_seconds, outcome
+                    )
+            logger.debug("leases at {} not renewed: {}", worker_id, outcome)
+            return False
+        answer = outcome.value
+        states = {(gang.job_id, gang.token): gang for gang in answer.gangs}
+        for run in runs.values():
+            state = states.get((run.key.job_id, run.key.token))
+            if state is None or not run.started_seconds:
+                continue
+            if state.phase in ("reserved", "running", "finished"):
+                self._placer.gang_calls.note_lease(
+                    run.members[worker_id], sent_seconds, outcome
+                )
+            run.observe(worker_id, answer.incarnation, state)
+        worker = self._known_workers.get(worker_id)
+        if worker is not None and answer.is_leaving and not worker.is_leaving:
+            self.observe_worker(_replace_leaving(worker, True))
+        return True
+
+    async def _read_state(self, worker_id, address):
+        outcome = await self._placer.worker_client.read_state(address)
+        if not isinstance(outcome, Done):
+            return False
+        self.observe_state(address, outcome.value)
+        return True
+
+
+def _replace_leaving(worker, is_leaving):
+    return Worker(
+        worker_id=worker.worker_id,
+        data_centre=worker.data_centre,
+        rack=worker.rack,
+        address=worker.address,
+        incarnation=worker.incarnation,
+        capacity=worker.capacity,
+        is_leaving=is_leaving,
+    )
--- /dev/null
+++ b/kingcuptrack/protocol/bodies.py
@@ -0,0 +1,170 @@
+"""JSON bodies of the caller and operator interfaces."""
+
+import json
+
+import attrs
+
+from ..findings import Finding, Place
+from ..state.jobs import GANG_TASKS_LIMIT_COUNT, JobSpec, Phase, Urgency
+from .codecs import json_converter, strict_json_converter, structure_findings
+
+PAYLOAD_LIMIT_BYTES = 256 * 1024
+KEY_LIMIT_BYTES = 256
+DECLARED_RUN_LIMIT_SECONDS = 30 * 86400.0
+
+# Outcomes told to callers. Only these are final, except for ``pending``.
+OUTCOME_BY_PHASE = {
+    Phase.QUEUED: "pending",
+    Phase.CLAIMED: "pending",
+    Phase.DONE: "done",
+    Phase.FAILED: "failed",
+    Phase.UNKNOWN: "unknown",
+    Phase.REFUSED: "not_run",
+    Phase.CANCELLED: "not_run",
+}
+
+
+@attrs.frozen(kw_only=True)
+class TaskResultBody:
+    """Result of one task: text, length in bytes and SHA-256 digest."""
+
+    task_index: int
+    body: str
+    length_bytes: int
+    sha256: str
+
+
+@attrs.frozen(kw_only=True)
+class JobBody:
+    """Answer about one job.
+
+    ``outcome`` is ``pending``, ``done``, ``not_run``, ``failed`` or ``unknown``.
+    ``durability`` is ``table`` once the job survives the loss of every instance,
+    else ``memory``.
+    """
+
+    job_id: str
+    outcome: str
+    phase: str = ""
+    reason: str = ""
+    code: str = ""
+    durability: str = ""
+    attempt: int = 0
+    retry_after_seconds: float = 0.0
+    results: tuple[TaskResultBody, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class ListsBody:
+    """Both lists as INI text; ``expected_version`` is the version edited."""
+
+    organisations: str
+    plans: str
+    expected_version: int = 0
+
+
+def parse_job_spec(body):
+    """Parse the body of a submission.
+
+    Returns
+    -------
+    spec : JobSpec or None
+    findings : list of Finding
+        All problems of the body, each with the key as its place.
+    """
+    data, findings = _decode_object(body)
+    if findings:
+        return None, findings
+    try:
+        spec = strict_json_converter.structure(data, JobSpec)
+    except Exception as error:  # cattrs raises exception groups of many types
+        return None, structure_findings(error, source="body")
+    findings = _check_spec(spec)
+    return (None if findings else spec), findings
+
+
+def parse_lists_body(body):
+    """Parse the body that replaces both lists; see `parse_job_spec`."""
+    data, findings = _decode_object(body)
+    if findings:
+        return None, findings
+    try:
+        return strict_json_converter.structure(data, ListsBody), []
+    except Exception as error:  # cattrs raises exception groups of many types
+        return None, structure_findings(error, source="body")
+
+
+def encode_findings(findings):
+    """Return findings as JSON objects."""
+    return [
+        {
+            **attrs.asdict(finding.place),
+            "message": finding.message,
+            "is_warning": finding.is_warning,
+        }
+        for finding in findings
+    ]
+
+
+def encode_body(body):
+    """Return a body as a JSON object."""
+    return json_converter.unstructure(body)
+
+
+def _decode_object(body):
+    try:
+        data = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        place = Place(file="body", line=getattr(error, "lineno", 0))
+        return None, [Finding(place=place, message=f"not valid JSON: {error}")]
+    if not isinstance(data, dict):
+        place = Place(file="body")
+        return None, [Finding(place=place, message="must be a JSON object")]
+    return data, []
+
+
+def _check_spec(spec: JobSpec):
+    findings = []
+
+    def require(condition, key, message):
+        if not condition:
+            place = Place(file="body", key=key)
+            findings.append(Finding(place=place, message=message))
+
+    def is_within(value, minimum, maximum):
+        return minimum <= value <= maximum
+
+    shape = spec.shape
+    limit = GANG_TASKS_LIMIT_COUNT
+    require(spec.organisation, "organisation", "must not be empty")
+    require(is_within(spec.tasks_count, 1, limit), "tasks_count", f"1 to {limit}")
+    for key in ("accelerators_count", "cores_count", "memory_bytes"):
+        value = getattr(shape, key)
+        require(is_within(value, 0, 2**50), f"shape.{key}", "must not be negative")
+    require(
+        is_within(shape.connections_count, 0, 10_000),
+        "shape.connections_count",
+        "0 to 10000",
+    )
+    require(
+        is_within(spec.declared_run_seconds, 0.0, DECLARED_RUN_LIMIT_SECONDS),
+        "declared_run_seconds",
+        f"0 to {DECLARED_RUN_LIMIT_SECONDS:g}",
+    )
+    require(
+        len(spec.payload.encode(errors="replace")) <= PAYLOAD_LIMIT_BYTES,
+        "payload",
+        f"at most {PAYLOAD_LIMIT_BYTES} bytes",
+    )
+    require(
+        len(spec.idempotency_key.encode(errors="replace")) <= KEY_LIMIT_BYTES,
+        "idempotency_key",
+        f"at most {KEY_LIMIT_BYTES} bytes",
+    )
+    require(
+        spec.is_repeatable or spec.idempotency_key,
+        "idempotency_key",
+        "required for a job that is not repeatable, so that a retry finds it",
+    )
+    require(spec.urgency in Urgency, "urgency", "urgent or patient")
+    return findings
--- /dev/null
+++ b/kingcuptrack/protocol/messages.py
@@ -0,0 +1,189 @@
+"""Messages between entry instances."""
+
+import attrs
+
+from ..state.jobs import JobSpec, TaskResult
+from ..state.plans import Configuration
+from ..state.scheduling import CapacitySummary
+
+
+@attrs.frozen(kw_only=True)
+class TakeOutNotice:
+    """Order to take a data centre out that may not be in the table yet."""
+
+    notice_id: str
+    data_centre: str
+
+
+@attrs.frozen(kw_only=True)
+class InstanceInfo:
+    """What an entry instance tells about itself in every heartbeat.
+
+    ``sequence`` orders the infos of one instance, so that a late or crossed
+    message never replaces a newer one.
+    """
+
+    instance_id: str
+    data_centre: str
+    peer_address: str
+    sequence: int
+    is_ready: bool = False
+    is_leaving: bool = False
+    configuration_version: int = 0
+    notice_ids: tuple[str, ...] = ()
+    summary: CapacitySummary | None = None
+
+
+@attrs.frozen(kw_only=True)
+class Heartbeat:
+    """Heartbeat and its answer."""
+
+    info: InstanceInfo
+    notices: tuple[TakeOutNotice, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class SubmitJob:
+    """Request to queue a job at the placer; idempotent by job id.
+
+    ``row_version`` is the version of the job row, 0 if it could not be recorded.
+    """
+
+    job_id: str
+    spec: JobSpec
+    row_version: int
+    attempt: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class SubmitAnswer:
+    """Whether the placer holds the job; a refusal means it never ran it."""
+
+    is_accepted: bool
+    code: str = ""
+    message: str = ""
+    retry_after_seconds: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class AwaitJob:
+    """Request to answer when the job is final, or after ``wait_seconds``."""
+
+    job_id: str
+    wait_seconds: float
+
+
+@attrs.frozen(kw_only=True)
+class CancelJob:
+    """Request to cancel a job that waits or runs."""
+
+    job_id: str
+
+
+@attrs.frozen(kw_only=True)
+class JobAnswer:
+    """State of a job as the placer knows it; ``is_known`` is false otherwise."""
+
+    is_known: bool
+    job_id: str = ""
+    phase: str = ""
+    attempt: int = 0
+    reason: str = ""
+    results: tuple[TaskResult, ...] = ()
+    is_recorded: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class DescribeDataCentre:
+    """Request for the state of a data centre, answered by its placer."""
+
+
+@attrs.frozen(kw_only=True)
+class WorkerDescription:
+    """One worker in a data centre description."""
+
+    worker_id: str
+    rack: str
+    is_leaving: bool
+    accelerators_count: int
+    free_accelerators_count: int
+    tasks_count: int
+    health: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class JobDescription:
+    """One open job in a data centre description."""
+
+    job_id: str
+    organisation: str
+    urgency: str
+    status: str
+    attempt: int
+    tasks_count: int
+    accelerators_count: int
+    is_guaranteed: bool
+    reason: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class DataCentreDescription:
+    """State of a data centre."""
+
+    data_centre: str
+    placer_id: str
+    workers: tuple[WorkerDescription, ...] = ()
+    jobs: tuple[JobDescription, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class GetConfiguration:
+    """Request for the newest configuration that the peer has."""
+
+
+@attrs.frozen(kw_only=True)
+class PushConfiguration:
+    """A configuration that the sender knows to be recorded."""
+
+    configuration: Configuration
+
+
+@attrs.frozen(kw_only=True)
+class Acknowledged:
+    """Answer that carries nothing."""
+
+
+@attrs.frozen(kw_only=True)
+class Failed:
+    """Answer of a peer that could not handle a request."""
+
+    message: str
+
+
+MESSAGE_KINDS = {
+    kind.__name__: kind
+    for kind in (
+        Heartbeat,
+        SubmitJob,
+        SubmitAnswer,
+        AwaitJob,
+        CancelJob,
+        JobAnswer,
+        DescribeDataCentre,
+        DataCentreDescription,
+        GetConfiguration,
+        PushConfiguration,
+        Acknowledged,
+        Failed,
+    )
+}
+
+
+@attrs.frozen(kw_only=True)
+class Envelope:
+    """Frame of a message; a response repeats the id of its request."""
+
+    request_id: int
+    is_response: bool
+    kind: str
+    body: dict
--- /dev/null
+++ b/kingcuptrack/transport/http_client.py
@@ -0,0 +1,84 @@
+"""HTTP requests with a deadline and a typed outcome."""
+
+import json
+
+import anyio
+import attrs
+import httpcore
+
+from ..outcomes import Done, Refused, Unknown
+
+
+@attrs.frozen(kw_only=True)
+class HttpResponse:
+    """Status and body of a response."""
+
+    status: int
+    body: bytes
+
+    def json(self):
+        """Return the decoded JSON body; raises ValueError if it is not JSON."""
+        return json.loads(self.body)
+
+
+class HttpClient:
+    """Connection pool; the headers are sent with every request."""
+
+    def __init__(self, *, connections_count, headers=None):
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=connections_count,
+            max_keepalive_connections=connections_count,
+            keepalive_expiry=30.0,
+        )
+        self._headers = {"content-type": "application/json", **(headers or {})}
+
+    async def request(self, method, url, *, timeout_seconds, body=None, content=None):
+        """Send a request.
+
+        Parameters
+        ----------
+        method, url : str
+        timeout_seconds : float
+            Bound of the whole exchange.
+        body : object, optional
+            Sent as JSON.
+        content : bytes, optional
+            Sent as it is.
+
+        Returns
+        -------
+        Done, Refused or Unknown
+            Done holds an `HttpResponse` of any status. Refused with code
+            ``unreachable`` if no connection could be made, so that the request
+            was not sent. Unknown if it may have been processed.
+        """
+        if body is not None:
+            content = json.dumps(body, separators=(",", ":")).encode()
+        try:
+            with anyio.fail_after(timeout_seconds):
+                response = await self._pool.request(
+                    method,
+                    url,
+                    headers=self._headers,
+                    content=content,
+                    extensions={"timeout": {"pool": timeout_seconds}},
+                )
+        except (httpcore.ConnectError, httpcore.PoolTimeout) as error:
+            return Refused(code="unreachable", message=f"{method} {url}: {error!r}")
+        except (TimeoutError, OSError, httpcore.TimeoutException) as error:
+            return Unknown(message=f"{method} {url}: {error!r}")
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            return Unknown(message=f"{method} {url}: {error!r}")
+        return Done(value=HttpResponse(status=response.status, body=response.content))
+
+    async def close(self):
+        """Close all connections."""
+        await self._pool.aclose()
+
+
+def decode_body(response, parse):
+    """Return ``parse`` of the JSON body as Done, or Unknown if it is malformed."""
+    try:
+        return Done(value=parse(response.json()))
+    except Exception as error:  # cattrs raises exception groups of many types
+        return Unknown(message=f"malformed body: {error!r}")
--- /dev/null
+++ b/kingcuptrack/transport/http_server.py
@@ -0,0 +1,41 @@
+"""HTTP server for callers and operators."""
+
+import anyio
+import uvicorn
+
+
+class HttpServer:
+    """uvicorn in a task, without its own handling of signals."""
+
+    def __init__(self, *, application, ip, port, stop_timeout_seconds):
+        self._server = uvicorn.Server(
+            uvicorn.Config(
+                application,
+                host=ip,
+                port=port,
+                # uvloop may use io_uring, which is not allowed.
+                loop="asyncio",
+                http="httptools",
+                ws="none",
+                lifespan="off",
+                access_log=False,
+                log_config=None,
+                timeout_keep_alive=30,
+                timeout_graceful_shutdown=max(1, round(stop_timeout_seconds)),
+            )
+        )
+
+    async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED):
+        """Serve until `stop`; open requests are completed first."""
+        self._server.config.load()
+        self._server.lifespan = self._server.config.lifespan_class(self._server.config)
+        await self._server.startup()
+        if self._server.should_exit:
+            raise OSError("the HTTP server could not listen on its address")
+        task_status.started()
+        await self._server.main_loop()
+        await self._server.shutdown()
+
+    def stop(self):
+        """Stop accepting connections and end `run` after the open requests."""
+        self._server.should_exit = True
--- /dev/null
+++ b/kingcuptrack/transport/peers.py
@@ -0,0 +1,171 @@
+"""Links between entry instances: requests and answers as CBOR over websockets."""
+
+import itertools
+import math
+
+import anyio
+from loguru import logger
+from websockets.asyncio.client import connect
+from websockets.asyncio.server import serve
+from websockets.exceptions import InvalidHandshake, WebSocketException
+
+from ..outcomes import Done, Refused, Unknown
+from ..protocol.codecs import cbor_converter, decode_cbor, encode_cbor
+from ..protocol.messages import MESSAGE_KINDS, Envelope, Failed
+
+# Results of a job travel in one message; larger ones go through the object store.
+MESSAGE_LIMIT_BYTES = 64 * 1024 * 1024
+
+_OPTIONS = {
+    "max_size": MESSAGE_LIMIT_BYTES,
+    # Heartbeats detect dead links; pings of the library would only add traffic.
+    "ping_interval": None,
+    "compression": None,
+    "close_timeout": 0.2,
+}
+
+
+def pack_message(message, *, request_id, is_response):
+    """Return the CBOR frame of a message."""
+    return encode_cbor(
+        Envelope(
+            request_id=request_id,
+            is_response=is_response,
+            kind=type(message).__name__,
+            body=cbor_converter.unstructure(message),
+        )
+    )
+
+
+def unpack_message(frame):
+    """Return the envelope and the typed message of a frame.
+
+    Raises
+    ------
+    ValueError
+        If the frame is malformed or of an unknown kind.
+    """
+    envelope = decode_cbor(frame, Envelope)
+    kind = MESSAGE_KINDS.get(envelope.kind)
+    if kind is None:
+        raise ValueError(f"unknown message kind {envelope.kind!r}")
+    try:
+        return envelope, cbor_converter.structure(envelope.body, kind)
+    except Exception as error:  # cattrs raises exception groups of many types
+        raise ValueError(f"malformed {envelope.kind}: {error!r}") from error
+
+
+class PeerLink:
+    """Connection to one peer; connects on the first call after a loss."""
+
+    def __init__(self, *, address, task_group):
+        self.address = address
+        self._task_group = task_group
+        self._connection = None
+        self._connecting = anyio.Lock()
+        self._request_ids = itertools.count(1)
+        self._pending = {}
+
+    async def call(self, message, *, timeout_seconds):
+        """Send a request and wait for its answer.
+
+        Returns
+        -------
+        Done, Refused or Unknown
+            Refused with code ``unreachable`` if the request was not sent.
+        """
+        request_id = next(self._request_ids)
+        send_stream, receive_stream = anyio.create_memory_object_stream(1)
+        try:
+            with anyio.fail_after(timeout_seconds):
+                connection = await self._connect()
+                if connection is None:
+                    return Refused(code="unreachable", message=self.address)
+                self._pending[request_id] = send_stream
+                frame = pack_message(message, request_id=request_id, is_response=False)
+                await connection.send(frame)
+                answer = await receive_stream.receive()
+        except TimeoutError:
+            return Unknown(message=f"{self.address}: no answer in time")
+        except (anyio.EndOfStream, WebSocketException, OSError) as error:
+            return Unknown(message=f"{self.address}: {error!r}")
+        finally:
+            self._pending.pop(request_id, None)
+            send_stream.close()
+            receive_stream.close()
+        if isinstance(answer, Failed):
+            return Unknown(message=f"{self.address}: {answer.message}")
+        return Done(value=answer)
+
+    async def close(self):
+        """Close the connection; pending calls end as Unknown."""
+        if self._connection is not None:
+            await self._connection.close()
+
+    async def _connect(self):
+        async with self._connecting:
+            if self._connection is not None:
+                return self._connection
+            try:
+                self._connection = await connect(f"ws://{self.address}", **_OPTIONS)
+            except (OSError, InvalidHandshake, TimeoutError, EOFError):
+                return None
+            self._task_group.start_soon(self._read_answers, self._connection)
+            return self._connection
+
+    async def _read_answers(self, connection):
+        try:
+            async for frame in connection:
+                envelope, message = unpack_message(frame)
+                # An answer that comes after its request was given up is dropped.
+                pending = self._pending.get(envelope.request_id)
+                if envelope.is_response and pending is not None:
+                    pending.send_nowait(message)
+        except (WebSocketException, OSError, ValueError) as error:
+            logger.debug("peer link to {} lost: {!r}", self.address, error)
+        finally:
+            if self._connection is connection:
+                self._connection = None
+            for pending in list(self._pending.values()):
+                pending.close()
+            self._pending.clear()
+
+
+async def serve_peers(handle, *, ip, port, task_status=anyio.TASK_STATUS_IGNORED):
+    """Serve requests of peers until cancelled.
+
+    Parameters
+    ----------
+    handle : callable
+        Coroutine function from a message to its answer.
+    """
+
+    async def answer(connection, envelope, message):
+        try:
+            result = await handle(message)
+        except Exception as error:  # one failed request must not end the link
+            logger.exception("request {} of a peer failed", envelope.kind)
+            result = Failed(message=repr(error))
+        response = pack_message(
+            result, request_id=envelope.request_id, is_response=True
+        )
+        try:
+            await connection.send(response)
+        except (WebSocketException, OSError):
+            logger.debug("peer went away before its answer")
+
+    async def serve_connection(connection):
+        async with anyio.create_task_group() as task_group:
+            try:
+                async for frame in connection:
+                    envelope, message = unpack_message(frame)
+                    task_group.start_soon(answer, connection, envelope, message)
+            except ValueError as error:
+                logger.warning("closing a peer link after a bad frame: {}", error)
+            except (WebSocketException, OSError) as error:
+                logger.debug("peer link ended: {!r}", error)
+            task_group.cancel_scope.cancel()
+
+    async with serve(serve_connection, ip, port, **_OPTIONS):
+        task_status.started()
+        await anyio.sleep(math.inf)
