--- /dev/null
+++ b/emulator/service.py
@@ -0,0 +1,82 @@
+"""HTTP serving shared by the stand-ins: typed errors and closable connections."""
+
+import json
+
+import uvicorn
+from starlette.responses import JSONResponse
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+GRACEFUL_STOP_SECONDS = 1
+
+
+class ClosableProtocol(HttpToolsProtocol):
+    """HTTP protocol that lets the application close the connection.
+
+    ASGI has no message for closing without an answer, which the fault modes need.
+    """
+
+    def on_message_begin(self):
+        super().on_message_begin()
+        self.scope["state"]["transport"] = self.transport
+
+
+class RequestError(Exception):
+    """An answer other than 200, with a stable code."""
+
+    def __init__(self, status, code, message=""):
+        super().__init__(f"{status} {code}: {message}")
+        self.status = status
+        self.code = code
+        self.message = message
+
+
+async def answer_request_error(request, error):
+    """Starlette handler that answers a `RequestError` as JSON."""
+    return JSONResponse(
+        {"code": error.code, "message": error.message}, status_code=error.status
+    )
+
+
+async def read_json_object(request):
+    """Return the body as a dict; raises `RequestError` 400 otherwise."""
+    try:
+        body = json.loads(await request.body())
+    except ValueError as error:
+        raise RequestError(400, "bad_request", f"body is not JSON: {error}") from None
+    if not isinstance(body, dict):
+        raise RequestError(400, "bad_request", "body is not a JSON object")
+    return body
+
+
+def field_of(body, name, kind, *, minimum=None, default=None):
+    """Return a checked field of a JSON object; raises `RequestError` 400.
+
+    A field without a default is required. ``kind`` float also accepts integers.
+    """
+    value = body.get(name, default)
+    allowed = (int, float) if kind is float else kind
+    if isinstance(value, bool) and kind is not bool:
+        allowed = ()
+    if not isinstance(value, allowed):
+        kind_name = "number" if kind is float else kind.__name__
+        raise RequestError(400, "bad_request", f"{name} must be of type {kind_name}")
+    if minimum is not None and value < minimum:
+        raise RequestError(400, "bad_request", f"{name} must be at least {minimum}")
+    return value
+
+
+def make_server(app, *, port):
+    """Return a uvicorn server for ``app`` on a loopback port."""
+    config = uvicorn.Config(
+        app,
+        host="127.0.0.1",
+        port=port,
+        loop="asyncio",
+        http=ClosableProtocol,
+        ws="none",
+        lifespan="off",
+        log_level="warning",
+        access_log=False,
+        timeout_graceful_shutdown=GRACEFUL_STOP_SECONDS,
+    )
+    return uvicorn.Server(config)
