--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -75,9 +75,9 @@
     """Wrap an ASGI app; ``take_fault(scope)`` returns the fault of a call or None.
 
     ``slow`` applies the call after the delay even if the caller has given up by
-    then, as a store whose queue is long does. ``lose_response`` applies it and closes the
-    connection, ``late`` applies it at once and answers after the delay, ``down``
-    and ``vanish`` do not apply it. Every mode honours the delay.
+    then, as a store with a long queue does. ``lose_response`` applies it and closes
+    the connection, ``late`` applies it at once and answers after the delay,
+    ``down`` and ``vanish`` do not apply it. Every mode honours the delay.
     """
 
     async def run(scope, receive, send):
--- a/emulator/platform.py
+++ b/emulator/platform.py
@@ -113,8 +113,7 @@
             else:
                 self.visible[instance_id] = entry
         return [
-            entry
-            | {"address": self.addresses.get((data_centre, instance_id), address)}
+            entry | {"address": self.addresses.get((data_centre, instance_id), address)}
             for instance_id, entry in sorted(self.visible.items())
             for address in [entry["address"]]
         ]
@@ -291,9 +290,7 @@
         Route("/v1/objects/{key:path}", write_object, methods=["PUT"]),
         Route("/v1/instances", list_instances, methods=["GET"]),
         Route("/v1/instances/{instance_id}", write_instance, methods=["PUT"]),
-        Route(
-            "/control/instances/{instance_id}", remove_instance, methods=["DELETE"]
-        ),
+        Route("/control/instances/{instance_id}", remove_instance, methods=["DELETE"]),
         Route("/control/faults", add_fault, methods=["POST"]),
         Route("/control/clear", clear_faults, methods=["POST"]),
         Route("/control/addresses", set_address, methods=["POST"]),
