--- a/tests/support.py
+++ b/tests/support.py
@@ -1,7 +1,22 @@
 """Fixtures shared by the tests."""
 
+import json
+import random
+import signal
+import socket
+import subprocess
 import sys
+import time
 import unittest
+from pathlib import Path
+
+import attrs
+import httpcore
+
+ROOT = Path(__file__).resolve().parent.parent
+# Below the ephemeral range of Linux, so that no outgoing connection takes a port.
+PORT_RANGE = range(20000, 32000)
+STOP_TIMEOUT_SECONDS = 5.0
 
 
 def function_tests(module_name):
@@ -24,3 +39,152 @@
 
 check = unittest.TestCase()
 check.maxDiff = None
+
+
+class PortPool:
+    """Free loopback TCP ports.
+
+    Each is reserved against other test processes by a bound UDP socket of the same
+    number until `close`, since the TCP port itself must stay free.
+    """
+
+    def __init__(self):
+        self._sockets = []
+
+    def take(self):
+        """Return a free port."""
+        while True:
+            port = random.choice(PORT_RANGE)
+            reservation = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            try:
+                reservation.bind(("127.0.0.1", port))
+                with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+                    probe.bind(("127.0.0.1", port))
+            except OSError:
+                reservation.close()
+                continue
+            self._sockets.append(reservation)
+            return port
+
+    def close(self):
+        """Release all ports."""
+        for reservation in self._sockets:
+            reservation.close()
+
+
+@attrs.define(kw_only=True)
+class RunningProcess:
+    """A process that a test started, and its log file."""
+
+    name: str
+    popen: subprocess.Popen
+    log_path: Path
+    is_paused: bool = False
+
+    @property
+    def is_running(self):
+        """Whether the process has not ended."""
+        return self.popen.poll() is None
+
+    def log_text(self):
+        """Return what the process has written so far."""
+        return self.log_path.read_text(encoding="utf-8", errors="replace")
+
+    def kill(self):
+        """Send SIGKILL and wait for the end."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def pause(self):
+        """Send SIGSTOP."""
+        self.popen.send_signal(signal.SIGSTOP)
+        self.is_paused = True
+
+    def resume(self):
+        """Send SIGCONT."""
+        self.popen.send_signal(signal.SIGCONT)
+        self.is_paused = False
+
+    def terminate(self):
+        """Send SIGTERM without waiting."""
+        self.popen.terminate()
+
+    def close(self):
+        """End the process, by SIGKILL if SIGTERM takes too long."""
+        if not self.is_running:
+            return
+        if not self.is_paused:
+            self.terminate()
+            try:
+                self.popen.wait(STOP_TIMEOUT_SECONDS)
+                return
+            except subprocess.TimeoutExpired:
+                pass
+        self.kill()
+
+
+def start_process(name, module, *arguments, log_directory):
+    """Start ``python -m module`` from the root of the repository."""
+    log_path = Path(log_directory) / f"{name}.log"
+    with open(log_path, "ab") as log:
+        popen = subprocess.Popen(
+            [sys.executable, "-m", module, *map(str, arguments)],
+            cwd=ROOT,
+            stdin=subprocess.DEVNULL,
+            stdout=log,
+            stderr=subprocess.STDOUT,
+        )
+    return RunningProcess(name=name, popen=popen, log_path=log_path)
+
+
+def request_json(method, url, body=None, *, headers=None, timeout_seconds=5.0):
+    """Send one request.
+
+    Returns
+    -------
+    status : int
+    answer : object
+        Decoded JSON; None if the body is empty.
+
+    Raises
+    ------
+    httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException
+        No complete answer arrived.
+    """
+    content = None if body is None else json.dumps(body).encode()
+    timeout = dict.fromkeys(("connect", "read", "write", "pool"), timeout_seconds)
+    with httpcore.ConnectionPool() as pool:
+        response = pool.request(
+            method,
+            url,
+            headers={"host": httpcore.URL(url).host, **(headers or {})},
+            content=content,
+            extensions={"timeout": timeout},
+        )
+    return response.status, json.loads(response.content) if response.content else None
+
+
+NO_ANSWER = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+)
+
+
+def wait_until(condition, what, *, timeout_seconds=10.0, interval_seconds=0.02):
+    """Return the first true value of ``condition()``.
+
+    Calls that get no answer count as false. Raises AssertionError with ``what`` at
+    the deadline.
+    """
+    deadline_seconds = time.monotonic() + timeout_seconds
+    while True:
+        try:
+            value = condition()
+        except NO_ANSWER:
+            value = None
+        if value:
+            return value
+        if time.monotonic() > deadline_seconds:
+            raise AssertionError(f"not within {timeout_seconds} s: {what}")
+        time.sleep(interval_seconds)
