--- a/emulator/platform.py
+++ b/emulator/platform.py
@@ -79,6 +79,14 @@
         table.rows[key] = (version + 1, value)
         return True, table.rows[key]
 
+    def delete_row(self, table_name, key):
+        """Delete a row of any version; return whether there was one."""
+        table = self.tables.get(table_name, Table())
+        if table.rows.pop(key, None) is None:
+            return False
+        del table.keys[bisect.bisect_left(table.keys, key)]
+        return True
+
     def list_rows(self, table_name, *, prefix, after, limit):
         """Return rows in key order, from the first key greater than ``after``."""
         table = self.tables.get(table_name, Table())
@@ -190,6 +198,21 @@
         )
         return JSONResponse({"version": version})
 
+    async def delete_row(request):
+        table_name = request.path_params["table"]
+        key = request.path_params["key"]
+        if not platform.delete_row(table_name, key):
+            raise RequestError(404, "not_found", "no such row")
+        platform.record(
+            "table",
+            "DELETE",
+            key,
+            data_centre=data_centre_of(request),
+            now_seconds=time.monotonic(),
+            table=table_name,
+        )
+        return JSONResponse({})
+
     async def list_rows(request):
         query = request.query_params
         try:
@@ -286,6 +309,7 @@
         Route("/v1/tables/{table}/rows", list_rows, methods=["GET"]),
         Route(row_path, read_row, methods=["GET"]),
         Route(row_path, write_row, methods=["PUT"]),
+        Route(row_path, delete_row, methods=["DELETE"]),
         Route("/v1/objects/{key:path}", read_object, methods=["GET"]),
         Route("/v1/objects/{key:path}", write_object, methods=["PUT"]),
         Route("/v1/instances", list_instances, methods=["GET"]),
--- a/kingcuptrack/coordination/application.py
+++ b/kingcuptrack/coordination/application.py
@@ -1,6 +1,7 @@
 """HTTP routes for callers and operators."""
 
 import attrs
+from loguru import logger
 from starlette.applications import Starlette
 from starlette.responses import JSONResponse
 from starlette.routing import Route
@@ -131,6 +132,12 @@
         finding = Finding(place=Place(file="body"), message=message)
         return invalid([finding], status=413)
 
+    async def fail(request, error):
+        # The request may have taken effect before the error.
+        logger.opt(exception=error).error("request to {} failed", request.url.path)
+        body = {"outcome": "unknown", "reason": "internal error; see the log"}
+        return JSONResponse(body, status_code=500)
+
     return Starlette(
         routes=[
             Route("/v1/jobs", submit, methods=["POST"]),
@@ -145,7 +152,7 @@
             Route("/v1/status/jobs", read_status_jobs, methods=["GET"]),
             Route("/health", health, methods=["GET"]),
         ],
-        exception_handlers={BodyTooLargeError: too_large},
+        exception_handlers={BodyTooLargeError: too_large, Exception: fail},
     )
 
 
--- a/kingcuptrack/logs.py
+++ b/kingcuptrack/logs.py
@@ -2,6 +2,7 @@
 
 import json
 import sys
+import traceback
 
 from loguru import logger
 
@@ -19,7 +20,12 @@
             **record["extra"],
         }
         if record["exception"] is not None:
-            line["exception"] = repr(record["exception"].value)
+            exception = record["exception"]
+            line["exception"] = "".join(
+                traceback.format_exception(
+                    exception.type, exception.value, exception.traceback
+                )
+            )
         sys.stderr.write(json.dumps(line, default=str) + "\n")
 
     logger.remove()
--- a/kingcuptrack/protocol/bodies.py
+++ b/kingcuptrack/protocol/bodies.py
@@ -5,7 +5,7 @@
 import attrs
 
 from ..findings import Finding, Place
-from ..state.jobs import GANG_TASKS_LIMIT_COUNT, JobSpec, Phase, Urgency
+from ..state.jobs import GANG_TASKS_LIMIT_COUNT, JobSpec, Phase
 from .codecs import json_converter, strict_json_converter, structure_findings
 
 PAYLOAD_LIMIT_BYTES = 256 * 1024
@@ -166,5 +166,4 @@
         "idempotency_key",
         "required for a job that is not repeatable, so that a retry finds it",
     )
-    require(spec.urgency in Urgency, "urgency", "urgent or patient")
     return findings
