Reject wrong types in JSON bodies instead of converting them

Cause: cattrs prefers hooks found by class, so the strict hooks registered by predicate never ran: an organisation of 3 became "3". Ruled out: the JSON preconfiguration. Change: hooks by class, with one for string enums. Before: 0 of 4 wrong types found; after: 4 of 4 (tests/test_bodies.py).

--- a/kingcuptrack/protocol/codecs.py
+++ b/kingcuptrack/protocol/codecs.py
@@ -1,7 +1,6 @@
 """Conversion between typed objects and JSON or CBOR, with strict types."""
 
-import operator
-from functools import partial
+from enum import StrEnum
 
 import cbor2
 from cattrs import transform_error
@@ -24,15 +23,12 @@
 
 def _harden(converter):
     """Reject values that cattrs would otherwise convert silently."""
-    hooks = {
-        int: _strict((int,), "a whole number"),
-        float: _strict((int, float), "a number"),
-        str: _strict((str,), "a string"),
-        bool: _strict((bool,), "true or false"),
-    }
-    for kind, hook in hooks.items():
-        # Matches the type itself: a hook by class would also serve string enums.
-        converter.register_structure_hook_func(partial(operator.is_, kind), hook)
+    converter.register_structure_hook(int, _strict((int,), "a whole number"))
+    converter.register_structure_hook(float, _strict((int, float), "a number"))
+    converter.register_structure_hook(str, _strict((str,), "a string"))
+    converter.register_structure_hook(bool, _strict((bool,), "true or false"))
+    # Hooks are found by class: without its own, a string enum would get that of str.
+    converter.register_structure_hook(StrEnum, lambda value, kind: kind(value))
     return converter
 
 
