Add the fault-injecting TCP proxy

Cause: partitions, slow links and half-closed connections have to be produced between real processes.

Change: tests/proxy.py serves any number of routes with delay, hold, drop, cut, refuse and half-close by direction; commands are JSON lines on a control port.

Ruled out: passing bytes again on a connection that lost some. TCP never leaves a gap in a stream, so such a connection is reset when the drop ends.

--- /dev/null
+++ b/tests/proxy.py
@@ -0,0 +1,355 @@
+"""TCP proxy that injects faults by direction.
+
+Usable in-process (`Proxy`) or as ``python -m tests.proxy --listen-port N
+--target HOST:PORT --control-port M``. The control port takes one JSON command a line
+and answers one JSON line (see `Proxy.apply`):
+
+- ``{"command": "add", "route": NAME, "listen_port": N, "target": "HOST:PORT"}``
+- ``{"command": "set", "route": NAME or "*", "direction": "to_target", "to_client" or
+  "both", "mode": "pass", "drop" or "hold", "delay_seconds": S}``: ``drop`` discards
+  bytes, ``hold`` keeps them until the mode changes. As in a partition, no connection is
+  established meanwhile, and one that lost bytes is reset when the mode changes.
+- ``{"command": "cut", "route": NAME}`` resets open connections.
+- ``{"command": "refuse", "route": NAME, "refuses": true}`` also resets new ones.
+- ``{"command": "half_close", "route": NAME, "direction": D}`` ends the stream in one
+  direction on open connections.
+- ``{"command": "statistics"}`` answers connections and forwarded bytes by route.
+"""
+
+import contextlib
+import json
+import socket
+import struct
+import time
+
+import anyio
+import attrs
+import defopt
+from anyio.abc import SocketAttribute
+from anyio.streams.buffered import BufferedByteReceiveStream
+
+DIRECTIONS = ("to_target", "to_client")
+CHUNK_BYTES = 65536
+QUEUED_CHUNKS_COUNT = 64
+LINE_LIMIT_BYTES = 65536
+BROKEN = (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
+
+
+class ConnectionReset(Exception):  # noqa: N818
+    """One side of a connection was reset; the other is reset too."""
+
+
+@attrs.define(kw_only=True)
+class Direction:
+    """Fault settings of one direction of a route; ``changed`` is set on change."""
+
+    mode: str = "pass"
+    delay_seconds: float = 0.0
+    forwarded_bytes: int = 0
+    changed: anyio.Event = attrs.field(factory=anyio.Event)
+
+
+@attrs.define(kw_only=True, eq=False)
+class Connection:
+    """An accepted connection; ``ends`` are the receiving streams by direction."""
+
+    scope: anyio.CancelScope
+    ends: dict = attrs.field(factory=dict)
+    half_closed: set = attrs.field(factory=set)
+    has_lost_bytes: bool = False
+
+
+@attrs.define(kw_only=True)
+class Route:
+    """A listening port, its target and its faults."""
+
+    name: str
+    listen_port: int
+    target_host: str
+    target_port: int
+    refuses: bool = False
+    accepted_count: int = 0
+    directions: dict = attrs.field(
+        factory=lambda: {name: Direction() for name in DIRECTIONS}
+    )
+    connections: set = attrs.field(factory=set)
+
+    @property
+    def is_passing(self):
+        """Whether bytes pass in both directions."""
+        return all(item.mode == "pass" for item in self.directions.values())
+
+
+class Proxy:
+    """Routes served by the tasks of one task group."""
+
+    def __init__(self, tasks):
+        self.routes = {}
+        self._tasks = tasks
+
+    async def add_route(self, name, *, target, listen_port=0):
+        """Listen on a loopback port (0: any free one) and return the route."""
+        host, _, port = target.rpartition(":")
+        listener = await anyio.create_tcp_listener(
+            local_host="127.0.0.1", local_port=listen_port
+        )
+        route = Route(
+            name=name,
+            listen_port=listener.extra(SocketAttribute.local_port),
+            target_host=host,
+            target_port=int(port),
+        )
+        self.routes[name] = route
+        self._tasks.start_soon(listener.serve, lambda s: _serve_client(route, s))
+        return route
+
+    async def apply(self, command):
+        """Carry out one command and return the answer; raises KeyError, ValueError."""
+        kind = command["command"]
+        if kind == "add":
+            route = await self.add_route(
+                command["route"],
+                target=command["target"],
+                listen_port=command.get("listen_port", 0),
+            )
+            return {"listen_port": route.listen_port}
+        if kind == "statistics":
+            return {name: _statistics(route) for name, route in self.routes.items()}
+        for route in self._matching(command["route"]):
+            if kind == "set":
+                self._set(route, command)
+            elif kind == "refuse":
+                route.refuses = command["refuses"]
+                _cut(route.connections)
+            elif kind == "cut":
+                _cut(route.connections)
+            elif kind == "half_close":
+                await _half_close(route, command["direction"])
+            else:
+                raise ValueError(f"unknown command {kind!r}")
+        return {}
+
+    def _matching(self, name):
+        return list(self.routes.values()) if name == "*" else [self.routes[name]]
+
+    def _set(self, route, command):
+        mode = command.get("mode")
+        if mode not in (None, "pass", "drop", "hold"):
+            raise ValueError(f"unknown mode {mode!r}")
+        for name in _directions_of(command.get("direction", "both")):
+            direction = route.directions[name]
+            direction.mode = mode or direction.mode
+            direction.delay_seconds = command.get(
+                "delay_seconds", direction.delay_seconds
+            )
+            direction.changed.set()
+            direction.changed = anyio.Event()
+        if route.is_passing:
+            _cut([item for item in route.connections if item.has_lost_bytes])
+
+
+def _directions_of(name):
+    if name == "both":
+        return DIRECTIONS
+    if name not in DIRECTIONS:
+        raise ValueError(f"unknown direction {name!r}")
+    return (name,)
+
+
+def _statistics(route):
+    return {
+        "accepted_count": route.accepted_count,
+        "open_count": len(route.connections),
+        "forwarded_bytes": {
+            name: direction.forwarded_bytes
+            for name, direction in route.directions.items()
+        },
+    }
+
+
+def _cut(connections):
+    for connection in list(connections):
+        connection.scope.cancel()
+
+
+async def _half_close(route, direction_name):
+    for name in _directions_of(direction_name):
+        for connection in list(route.connections):
+            if name in connection.ends:
+                connection.half_closed.add(name)
+                await _ignore_broken(connection.ends[name].send_eof)
+
+
+async def _ignore_broken(call):
+    with contextlib.suppress(BROKEN):
+        await call()
+
+
+async def _serve_client(route, client):
+    route.accepted_count += 1
+    with anyio.CancelScope() as scope:
+        connection = Connection(scope=scope)
+        route.connections.add(connection)
+        try:
+            await _run_connection(route, connection, client)
+        finally:
+            route.connections.discard(connection)
+            if scope.cancel_called:
+                _reset_on_close(client)
+            with anyio.CancelScope(shield=True):
+                await _ignore_broken(client.aclose)
+
+
+async def _run_connection(route, connection, client):
+    if route.refuses:
+        connection.scope.cancel()
+        return
+    if not route.is_passing:
+        connection.has_lost_bytes = True
+        await anyio.sleep_forever()
+    try:
+        target = await anyio.connect_tcp(route.target_host, route.target_port)
+    except OSError:
+        connection.scope.cancel()
+        return
+    try:
+        connection.ends = {"to_target": target, "to_client": client}
+        async with anyio.create_task_group() as tasks:
+            for name, source in (("to_target", client), ("to_client", target)):
+                chunks, queued = anyio.create_memory_object_stream(QUEUED_CHUNKS_COUNT)
+                direction = route.directions[name]
+                tasks.start_soon(_read_chunks, source, direction, chunks)
+                tasks.start_soon(_write_chunks, connection, name, direction, queued)
+        if connection.has_lost_bytes:
+            # The end of the stream was lost too: neither side hears of it yet.
+            await anyio.sleep_forever()
+    except* ConnectionReset:
+        connection.scope.cancel()
+    finally:
+        if connection.scope.cancel_called:
+            _reset_on_close(target)
+        with anyio.CancelScope(shield=True):
+            await _ignore_broken(target.aclose)
+
+
+def _reset_on_close(stream):
+    raw_socket = stream.extra(SocketAttribute.raw_socket)
+    linger = struct.pack("ii", 1, 0)
+    with contextlib.suppress(OSError):
+        raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
+async def _read_chunks(source, direction, chunks):
+    """Queue what arrives with its due time; then the exception that ended it."""
+    async with chunks:
+        while True:
+            try:
+                item = await source.receive(CHUNK_BYTES)
+            except (anyio.EndOfStream, *BROKEN) as error:
+                item = error
+            due_seconds = time.monotonic() + direction.delay_seconds
+            await chunks.send((due_seconds, item))
+            if isinstance(item, Exception):
+                return
+
+
+async def _write_chunks(connection, name, direction, queued):
+    end = connection.ends[name]
+    async for due_seconds, item in queued:
+        await anyio.sleep(max(0.0, due_seconds - time.monotonic()))
+        while direction.mode == "hold":
+            await direction.changed.wait()
+        if direction.mode == "drop":
+            connection.has_lost_bytes = True
+            continue
+        if name in connection.half_closed:
+            continue
+        try:
+            if isinstance(item, anyio.EndOfStream):
+                await end.send_eof()
+            elif isinstance(item, Exception):
+                raise ConnectionReset from item
+            else:
+                await end.send(item)
+                direction.forwarded_bytes += len(item)
+        except BROKEN as error:
+            raise ConnectionReset from error
+
+
+async def serve_control(proxy, port, *, task_status=anyio.TASK_STATUS_IGNORED):
+    """Serve the control interface on a loopback port (0: any free one).
+
+    Reports the port when it listens.
+    """
+
+    async def serve_client(client):
+        async with client:
+            lines = BufferedByteReceiveStream(client)
+            while True:
+                try:
+                    line = await lines.receive_until(b"\n", LINE_LIMIT_BYTES)
+                except (anyio.IncompleteRead, *BROKEN):
+                    return
+                try:
+                    answer = await proxy.apply(json.loads(line))
+                except (KeyError, ValueError, TypeError, OSError) as error:
+                    answer = {"error": repr(error)}
+                await client.send(json.dumps(answer).encode() + b"\n")
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=port)
+    task_status.started(listener.extra(SocketAttribute.local_port))
+    await listener.serve(serve_client)
+
+
+class ProxyControl:
+    """Client of the control interface, for tests without an event loop."""
+
+    def __init__(self, port, *, timeout_seconds=5.0):
+        self._socket = socket.create_connection(("127.0.0.1", port), timeout_seconds)
+        self._file = self._socket.makefile("rwb")
+
+    def send(self, command, **fields):
+        """Send one command and return the answer; raises ValueError if refused."""
+        line = json.dumps({"command": command, **fields})
+        self._file.write(line.encode() + b"\n")
+        self._file.flush()
+        answer = json.loads(self._file.readline())
+        if "error" in answer:
+            raise ValueError(answer["error"])
+        return answer
+
+    def close(self):
+        """Close the connection."""
+        self._file.close()
+        self._socket.close()
+
+
+def main(
+    *,
+    control_port: int,
+    listen_port: int = 0,
+    target: str = "",
+    delay_seconds: float = 0.0,
+):
+    """Run the proxy, with one route named ``main`` if a target is given.
+
+    :param control_port: TCP port of the control interface.
+    :param listen_port: TCP port of the route.
+    :param target: HOST:PORT that the route leads to.
+    :param delay_seconds: delay of the route, one way.
+    """
+
+    async def serve():
+        async with anyio.create_task_group() as tasks:
+            proxy = Proxy(tasks)
+            if target:
+                await proxy.add_route("main", target=target, listen_port=listen_port)
+                command = {"command": "set", "route": "main"}
+                await proxy.apply({**command, "delay_seconds": delay_seconds})
+            await serve_control(proxy, control_port)
+
+    anyio.run(serve)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/tests/test_proxy.py
@@ -0,0 +1,163 @@
+"""The fault-injecting proxy: each fault affects its direction only."""
+
+import contextlib
+import time
+
+import anyio
+
+from .proxy import Proxy, ProxyControl, serve_control
+from .support import check, function_tests
+
+load_tests = function_tests(__name__)
+BROKEN = (anyio.BrokenResourceError, anyio.EndOfStream)
+SILENCE_SECONDS = 0.2
+TIMEOUT_SECONDS = 5.0
+
+
+@contextlib.asynccontextmanager
+async def proxied_server():
+    """Yield (command, connect, received, proxy) around a server.
+
+    The server echoes in upper case.
+    ``received`` collects what the server got; an empty item is the end of a stream.
+    """
+    received = []
+
+    async def echo(stream):
+        async with stream:
+            try:
+                async for data in stream:
+                    received.append(data)
+                    await stream.send(data.upper())
+            except anyio.BrokenResourceError:
+                received.append(None)
+                return
+            received.append(b"")
+            await stream.send(b"END")
+
+    with anyio.fail_after(4 * TIMEOUT_SECONDS):
+        async with anyio.create_task_group() as tasks:
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            tasks.start_soon(listener.serve, echo)
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            proxy = Proxy(tasks)
+            route = await proxy.add_route("r", target=f"127.0.0.1:{port}")
+
+            async def command(kind, **fields):
+                return await proxy.apply({"command": kind, "route": "r", **fields})
+
+            async def connect():
+                return await anyio.connect_tcp("127.0.0.1", route.listen_port)
+
+            yield command, connect, received, proxy
+            tasks.cancel_scope.cancel()
+
+
+async def ask(stream, data):
+    """Send and receive; returns None if nothing arrives for a while."""
+    await stream.send(data)
+    return await receive(stream)
+
+
+async def receive(stream):
+    """Return the next bytes, or None if nothing arrives for a while."""
+    with anyio.move_on_after(SILENCE_SECONDS):
+        return await stream.receive()
+    return None
+
+
+async def arrives(stream):
+    """Return the next bytes; fails at the deadline."""
+    with anyio.fail_after(TIMEOUT_SECONDS):
+        return await stream.receive()
+
+
+def test_delay_and_hold_keep_every_byte():
+    """Guards against a slow link that loses, reorders or does not delay bytes."""
+
+    async def run():
+        async with proxied_server() as (command, connect, received, proxy):
+            async with await connect() as stream:
+                await command("set", direction="to_target", delay_seconds=0.3)
+                started_seconds = time.monotonic()
+                await stream.send(b"a")
+                check.assertEqual(await arrives(stream), b"A")
+                check.assertGreaterEqual(time.monotonic() - started_seconds, 0.3)
+                await command("set", delay_seconds=0.0, mode="hold")
+                check.assertIsNone(await ask(stream, b"b"))
+                check.assertEqual(received, [b"a"])
+                await command("set", mode="pass")
+                check.assertEqual(await arrives(stream), b"B")
+                statistics = await command("statistics")
+                check.assertEqual(statistics["r"]["forwarded_bytes"]["to_client"], 2)
+
+    anyio.run(run)
+
+
+def test_drop_is_one_way_and_ends_in_a_reset():
+    """Guards against a partition that heals into a stream with missing bytes."""
+
+    async def run():
+        async with proxied_server() as (command, connect, received, proxy):
+            async with await connect() as stream:
+                check.assertEqual(await ask(stream, b"a"), b"A")
+                await command("set", direction="to_client", mode="drop")
+                check.assertIsNone(await ask(stream, b"b"))
+                check.assertEqual(received, [b"a", b"b"])
+                async with await connect() as late:
+                    check.assertIsNone(await ask(late, b"c"))
+                    await command("set", mode="pass")
+                    with check.assertRaises(BROKEN):
+                        await arrives(late)
+                with check.assertRaises(BROKEN):
+                    await arrives(stream)
+            check.assertNotIn(b"c", received)
+            async with await connect() as stream:
+                check.assertEqual(await ask(stream, b"d"), b"D")
+
+    anyio.run(run)
+
+
+def test_cut_refuse_and_half_close():
+    """Guards against a cut that leaves a connection open on one side."""
+
+    async def run():
+        async with proxied_server() as (command, connect, received, proxy):
+            async with await connect() as stream:
+                check.assertEqual(await ask(stream, b"a"), b"A")
+                await command("half_close", direction="to_target")
+                check.assertEqual(await arrives(stream), b"END")
+                check.assertEqual(received, [b"a", b""])
+            async with await connect() as stream:
+                check.assertEqual(await ask(stream, b"b"), b"B")
+                await command("refuse", refuses=True)
+                with check.assertRaises(BROKEN):
+                    await arrives(stream)
+            async with await connect() as stream:
+                with check.assertRaises(BROKEN):
+                    await arrives(stream)
+            await command("refuse", refuses=False)
+            async with await connect() as stream:
+                check.assertEqual(await ask(stream, b"c"), b"C")
+
+    anyio.run(run)
+
+
+def test_control_port_answers_commands():
+    """Guards against an unusable control interface or a silent bad command."""
+
+    def use_control(port):
+        with contextlib.closing(ProxyControl(port)) as control:
+            control.send("set", route="*", delay_seconds=0.0)
+            check.assertEqual(control.send("statistics")["r"]["accepted_count"], 0)
+            with check.assertRaises(ValueError):
+                control.send("set", route="r", mode="odd")
+
+    async def run():
+        async with proxied_server() as (command, connect, received, proxy):
+            async with anyio.create_task_group() as tasks:
+                port = await tasks.start(serve_control, proxy, 0)
+                await anyio.to_thread.run_sync(use_control, port)
+                tasks.cancel_scope.cancel()
+
+    anyio.run(run)
