--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -158,6 +158,7 @@
 
 def _statistics(route):
     return {
+        "listen_port": route.listen_port,
         "accepted_count": route.accepted_count,
         "open_count": len(route.connections),
         "forwarded_bytes": {
