Split the placer and decide outcomes from what workers say of an attempt

Change: attempts, open jobs and descriptions are modules of their own; outcomes that promise no run wait for the row; a stop's answer says whether the tasks were started; takeover adopts whole attempts newer than the row.

--- /dev/null
+++ b/kingcuptrack/coordination/attempts.py
@@ -0,0 +1,303 @@
+"""Attempts: one gang from its reservations to its outcome.
+
+An attempt reserves at every worker, claims the job row, and only then starts. It
+ends with the outcome of the job, or without one when no worker holds it any more.
+"""
+
+import time
+
+import anyio
+import attrs
+from loguru import logger
+
+from ..outcomes import Done, Refused
+from ..state.jobs import FINAL_PHASES, Phase, Urgency
+from .gangs import gang_progress
+from .open_jobs import GangEnded, JobEnded, make_answer, make_row
+
+RECORD_RETRY_MINIMUM_SECONDS = 0.5
+RECORD_RETRY_MAXIMUM_SECONDS = 10.0
+
+# Outcomes that promise that the job never runs. They are told only once the row says
+# so, since a later placer would otherwise find the job open and run it.
+NOT_RUN_PHASES = frozenset({Phase.CANCELLED, Phase.REFUSED})
+
+
+async def run_attempt(context, watch, job, run):
+    """Run an attempt and post the event that it ends with."""
+    try:
+        ended = await _execute(context, watch, job, run)
+    except Exception:  # a fault in one attempt must not stop the others
+        logger.exception("attempt {} of job {} failed", run.key.token, job.job_id)
+        run.request_stop("internal error")
+        ended = await _stop(context, job, run, failed_worker_ids=())
+    finally:
+        watch.remove_run(run)
+    context.mailbox.post(ended)
+
+
+async def record_final(context, job, row):
+    """Write a final row.
+
+    Returns
+    -------
+    answer : JobAnswer
+        Taken from the row that stands, if another one was final first.
+    is_written : bool
+    """
+    outcome = await context.job_table.finish(row, expected_version=job.row_version)
+    if isinstance(outcome, Done):
+        job.row_version = outcome.value.version
+        return make_answer(row, is_recorded=True), True
+    if isinstance(outcome, Refused) and outcome.code == "conflict":
+        current = outcome.detail
+        if current is not None and current.row.phase in FINAL_PHASES:
+            results = await context.job_table.read_results(current.row)
+            if isinstance(results, Done):
+                standing = attrs.evolve(current.row, results=results.value)
+                return make_answer(standing, is_recorded=True), True
+    return make_answer(row, is_recorded=False), False
+
+
+async def record_until_written(context, job, row):
+    """Write a final row, repeating until the table takes it; return the answer."""
+    delay_seconds = RECORD_RETRY_MINIMUM_SECONDS
+    while True:
+        answer, is_written = await record_final(context, job, row)
+        if is_written:
+            return answer
+        await anyio.sleep(delay_seconds)
+        delay_seconds = min(2 * delay_seconds, RECORD_RETRY_MAXIMUM_SECONDS)
+
+
+async def finish_waiting_job(context, job, *, phase, reason):
+    """Make a job that holds no worker final; posts the event."""
+    row = make_row(job, phase=phase, data_centre=context.data_centre, reason=reason)
+    if job.row_version or job.may_have_row:
+        answer = await record_until_written(context, job, row)
+    else:
+        answer = make_answer(row, is_recorded=False)
+    context.mailbox.post(JobEnded(job_id=job.job_id, answer=answer))
+
+
+def not_run_phase(job, phase):
+    """Return ``phase``, or unknown if an earlier attempt may have run."""
+    return Phase.UNKNOWN if job.may_have_run else phase
+
+
+async def _execute(context, watch, job, run):
+    if not run.is_started and not run.stop_reason:
+        ended = await _start(context, job, run)
+        if ended is not None:
+            return ended
+        watch.poll_soon(run)
+    while not run.stop_reason:
+        now_seconds = time.monotonic()
+        progress = gang_progress(run, now_seconds=now_seconds)
+        if progress == "finished":
+            return await _finish(context, job, run)
+        if progress != "running":
+            run.request_stop(f"gang {progress}")
+            failed_worker_ids = _failed_worker_ids(run)
+            return await _stop(
+                context,
+                job,
+                run,
+                failed_worker_ids=failed_worker_ids,
+                is_task_failed=progress == "failed",
+            )
+        changed = run.changed
+        with anyio.move_on_after(run.lease_end_seconds() - now_seconds):
+            await changed.wait()
+    return await _stop(context, job, run, failed_worker_ids=())
+
+
+async def _start(context, job, run):
+    """Reserve, claim and start; return an event if the attempt ended."""
+    calls = context.gang_calls
+    outcomes = await calls.reserve(run, row_version=job.row_version)
+    refusing_ids = _not_done(outcomes)
+    if refusing_ids:
+        reason = f"not reserved at {', '.join(refusing_ids)}"
+        return await _release(context, job, run, reason, refusing_ids)
+    reason = await _claim(context, job, run)
+    if not reason and not calls.has_start_time(run):
+        reason = "leases about to lapse"
+    # Checked as late as possible: a take-out may have come since the decision.
+    reason = reason or run.stop_reason or _start_refusal(context, run)
+    if reason:
+        return await _release(context, job, run, reason, ())
+    outcomes = await calls.start(run)
+    failed_ids = _not_done(outcomes)
+    if failed_ids:
+        run.request_stop(f"not started at {', '.join(failed_ids)}")
+        return await _stop(context, job, run, failed_worker_ids=failed_ids)
+    run.mark_started(time.monotonic())
+    job.status = "running"
+    waited_seconds = time.monotonic() - job.queued_seconds
+    context.metrics.timing(f"start.{job.spec.urgency}", 1000.0 * waited_seconds)
+    return None
+
+
+async def _release(context, job, run, reason, failed_worker_ids):
+    """End an attempt that was not started anywhere."""
+    await context.gang_calls.stop(run)
+    await _unclaim(context, job)
+    return GangEnded(run=run, reason=reason, failed_worker_ids=failed_worker_ids)
+
+
+def _start_refusal(context, run):
+    """Return why this data centre may not start the gang now, or ''."""
+    if context.is_out_of_service():
+        return "data centre is out of service"
+    if not context.membership.is_placer():
+        return "not the placer any more"
+    if context.configuration.is_isolated():
+        spec = run.gang.job.spec
+        is_allowed = spec.is_repeatable and (
+            run.gang.is_guaranteed or spec.urgency == Urgency.URGENT
+        )
+        if context.settings.isolated_start_policy == "stop" or not is_allowed:
+            return "data centre is isolated"
+    return ""
+
+
+async def _claim(context, job, run):
+    """Record the attempt in the job row; return a reason if it may not start."""
+    if job.spec.is_repeatable and context.configuration.is_table_silent():
+        return ""
+    row = make_row(job, phase=Phase.CLAIMED, data_centre=context.data_centre, run=run)
+    outcome = await context.job_table.write(row, expected_version=job.row_version)
+    if isinstance(outcome, Refused) and outcome.code == "conflict":
+        return await _resolve_conflict(context, job, row, outcome.detail)
+    if isinstance(outcome, Done):
+        _note_claim(job, outcome)
+        return ""
+    if job.spec.is_repeatable:
+        # Without the table, the workers' records alone guard against a second
+        # attempt; nobody but this data centre may start a row assigned to it.
+        return ""
+    return f"claim not recorded: {outcome.message}"
+
+
+async def _resolve_conflict(context, job, row, current):
+    if current is None:
+        return "the job row disappeared"
+    if current.row.phase in FINAL_PHASES:
+        job.row_version = current.version
+        results = await context.job_table.read_results(current.row)
+        if isinstance(results, Done):
+            standing = attrs.evolve(current.row, results=results.value)
+            answer = make_answer(standing, is_recorded=True)
+            context.mailbox.post(JobEnded(job_id=job.job_id, answer=answer))
+        return "the job is final already"
+    is_waiting_here = (
+        current.row.phase == Phase.QUEUED
+        and current.row.data_centre == context.data_centre
+        and current.row.attempt < row.attempt
+    )
+    if not is_waiting_here:
+        return "the job is claimed or moved elsewhere"
+    outcome = await context.job_table.write(row, expected_version=current.version)
+    if isinstance(outcome, Done):
+        _note_claim(job, outcome)
+        return ""
+    return "the job row changed again"
+
+
+def _note_claim(job, outcome):
+    job.row_version = outcome.value.version
+    job.is_claimed = True
+
+
+async def _unclaim(context, job):
+    """Put the row back to queued if the job surely never ran.
+
+    A takeover would otherwise have to take it for a job that may have run.
+    """
+    if job.is_claimed and not job.may_have_run and not job.spec.is_repeatable:
+        row = make_row(job, phase=Phase.QUEUED, data_centre=context.data_centre)
+        outcome = await context.job_table.write(row, expected_version=job.row_version)
+        if isinstance(outcome, Done):
+            job.row_version = outcome.value.version
+            job.is_claimed = False
+
+
+async def _finish(context, job, run):
+    outcome = await context.gang_calls.collect_results(run)
+    if not isinstance(outcome, Done):
+        run.request_stop(f"results not read: {outcome.message}")
+        return await _stop(context, job, run, failed_worker_ids=tuple(run.members))
+    row = make_row(
+        job,
+        phase=Phase.DONE,
+        data_centre=context.data_centre,
+        run=run,
+        results=outcome.value,
+    )
+    answer, is_written = await record_final(context, job, row)
+    ended = JobEnded(job_id=job.job_id, answer=answer, succeeded=True)
+    if not is_written:
+        # The answer is true and complete, so the caller does not wait for the table.
+        # Workers keep the results until the row has them.
+        context.mailbox.post(ended)
+        await record_until_written(context, job, row)
+    await context.gang_calls.forget(run)
+    return ended
+
+
+async def _stop(context, job, run, *, failed_worker_ids, is_task_failed=False):
+    """Stop every member, then decide between a new attempt and an outcome."""
+    is_checkpointed = False
+    if run.is_checkpoint_wanted:
+        is_checkpointed = await context.gang_calls.checkpoint(run)
+    await context.gang_calls.stop(run)
+    job.may_have_run = job.may_have_run or run.may_have_run
+    may_rerun = (
+        job.spec.is_repeatable
+        or not job.may_have_run
+        or (job.spec.is_checkpointable and is_checkpointed)
+    )
+    if may_rerun and not job.is_cancelled:
+        await _unclaim(context, job)
+        return GangEnded(
+            run=run, reason=run.stop_reason, failed_worker_ids=failed_worker_ids
+        )
+    if job.is_cancelled:
+        phase, reason = not_run_phase(job, Phase.CANCELLED), "cancelled"
+    elif is_task_failed:
+        phase, reason = Phase.FAILED, "a task reported an error"
+    else:
+        phase, reason = Phase.UNKNOWN, run.stop_reason
+    row = make_row(
+        job, phase=phase, data_centre=context.data_centre, run=run, reason=reason
+    )
+    answer, is_written = await record_final(context, job, row)
+    if not is_written and (phase in NOT_RUN_PHASES or job.is_cancelled):
+        answer = await record_until_written(context, job, row)
+    ended = JobEnded(
+        job_id=job.job_id, answer=answer, failed_worker_ids=failed_worker_ids
+    )
+    if not is_written:
+        context.mailbox.post(ended)
+        await record_until_written(context, job, row)
+    return ended
+
+
+def _not_done(outcomes):
+    return tuple(
+        sorted(
+            worker_id
+            for worker_id, outcome in outcomes.items()
+            if not isinstance(outcome, Done)
+        )
+    )
+
+
+def _failed_worker_ids(run):
+    return tuple(
+        member.worker_id
+        for member in run.members.values()
+        if member.phase not in ("running", "finished")
+        or any(task.state == "failed" for task in member.tasks.values())
+    )
--- a/kingcuptrack/coordination/configuration.py
+++ b/kingcuptrack/coordination/configuration.py
@@ -35,8 +35,8 @@
 
     @property
     def is_ready(self):
-        """Whether any configuration is known."""
-        return self.current.version > 0
+        """Whether the configuration is known, be it that there is none yet."""
+        return self.current.version > 0 or self.table_heard_seconds > float("-inf")
 
     def data_centres_out(self):
         """Return the data centres out of service, by the row or by a notice."""
--- a/kingcuptrack/coordination/entry.py
+++ b/kingcuptrack/coordination/entry.py
@@ -24,6 +24,7 @@
 from .application import make_application
 from .claims import JobTable
 from .configuration import ConfigurationKeeper
+from .context import PlacerContext
 from .front import Front
 from .gangs import GangCalls
 from .mailbox import Mailbox
@@ -103,7 +104,7 @@
             http_client=self._workers_client,
             timeout_seconds=settings.worker_timeout_seconds,
         )
-        self._placer = Placer(
+        context = PlacerContext(
             settings=settings,
             membership=self._membership,
             configuration=self._configuration,
@@ -111,9 +112,9 @@
             gang_calls=GangCalls(settings=settings, worker_client=worker_client),
             worker_client=worker_client,
             mailbox=self._mailbox,
-            move_job=self._router.move_job,
             metrics=self._metrics,
         )
+        self._placer = Placer(context=context, move_job=self._router.move_job)
         self._front = Front(
             settings=settings,
             membership=self._membership,
--- a/kingcuptrack/coordination/front.py
+++ b/kingcuptrack/coordination/front.py
@@ -193,7 +193,12 @@
             return _not_run(row.job_id, refusal)
         data_centre = row.data_centre
         excluded = set()
-        message = SubmitJob(job_id=row.job_id, spec=spec, row_version=0)
+        message = SubmitJob(
+            job_id=row.job_id,
+            spec=spec,
+            row_version=0,
+            may_have_row=isinstance(outcome, Unknown),
+        )
         for _ in range(TRIES_COUNT):
             submitted = await self._router.submit(data_centre, message)
             if isinstance(submitted, Done):
--- a/kingcuptrack/coordination/gangs.py
+++ b/kingcuptrack/coordination/gangs.py
@@ -41,15 +41,19 @@
 
 @attrs.define(kw_only=True)
 class GangRun:
-    """State of one attempt, owned by its task; watchers report to it."""
+    """State of one attempt, owned by its task; watchers report to it.
+
+    ``started_seconds`` is when all starts had been acknowledged. Reports to requests
+    sent earlier may show the state before the start and are ignored.
+    """
 
     gang: PlacedGang
     key: GangKey
     members: dict
+    is_started: bool = False
     started_seconds: float = 0.0
     stop_reason: str = ""
     is_checkpoint_wanted: bool = False
-    is_checkpointed: bool = False
     changed: anyio.Event = attrs.field(factory=anyio.Event)
 
     @property
@@ -62,6 +66,22 @@
         """Whether any task may have been started in this attempt."""
         return any(member.may_have_started for member in self.members.values())
 
+    def mark_started(self, now_seconds):
+        """Note that every member has acknowledged its start."""
+        self.is_started = True
+        self.started_seconds = now_seconds
+
+    def lease_end_seconds(self):
+        """Return when the first lease of a running member may lapse."""
+        return min(
+            (
+                member.safe_until_seconds
+                for member in self.members.values()
+                if member.phase == "running"
+            ),
+            default=float("inf"),
+        )
+
     def notify(self):
         """Wake the task that owns this attempt."""
         self.changed.set()
@@ -74,8 +94,10 @@
             self.is_checkpoint_wanted = is_checkpoint_wanted
             self.notify()
 
-    def observe(self, worker_id, incarnation, gang_state):
-        """Take in what a worker reported of this attempt."""
+    def observe(self, worker_id, incarnation, gang_state, *, sent_seconds):
+        """Take in what a worker answered to a request sent at ``sent_seconds``."""
+        if not self.is_started or sent_seconds < self.started_seconds:
+            return
         member = self.members[worker_id]
         if incarnation != member.incarnation:
             member.phase = "absent"
@@ -186,11 +208,16 @@
     async def stop(self, run):
         """Stop all members; return when each acknowledged or its lease lapsed."""
         remaining = dict(run.members)
-        while remaining:
 
-            async def stop_member(member):
-                return await self._workers.stop(member.address, run.key)
+        async def stop_member(member):
+            outcome = await self._workers.stop(member.address, run.key)
+            if isinstance(outcome, Done) and outcome.value.phase != "absent":
+                # The worker knows the attempt, so its word is better than a guess
+                # made from answers that were lost.
+                member.may_have_started = outcome.value.was_started
+            return outcome
 
+        while remaining:
             outcomes = await self._call_members(run, stop_member, remaining)
             now_seconds = time.monotonic()
             remaining = {
@@ -273,12 +300,9 @@
     task_states = [task.state for member in members for task in member.tasks.values()]
     if "failed" in task_states:
         return "failed"
-    is_broken = any(
-        member.phase not in ("running", "finished")
-        or (member.phase == "running" and now_seconds >= member.safe_until_seconds)
-        for member in members
-    )
-    if is_broken:
+    has_all_leases = now_seconds < run.lease_end_seconds()
+    is_whole = all(member.phase in ("running", "finished") for member in members)
+    if not is_whole or not has_all_leases:
         return "broken"
     if all(member.phase == "finished" for member in members):
         return "finished"
--- /dev/null
+++ b/kingcuptrack/coordination/open_jobs.py
@@ -0,0 +1,91 @@
+"""Jobs that a placer holds, and the events that end their attempts."""
+
+import anyio
+import attrs
+
+from ..protocol.messages import JobAnswer
+from ..state.jobs import JobRow, JobSpec
+from .gangs import GangRun
+
+
+@attrs.define(kw_only=True)
+class OpenJob:
+    """A job that a placer holds.
+
+    ``row_version`` is 0 while the job is held in memory only; ``may_have_row`` tells
+    whether a row may exist all the same. ``token`` is the newest fencing token used,
+    which may exceed the attempt in the row. ``may_have_run`` covers all attempts.
+    """
+
+    job_id: str
+    spec: JobSpec
+    queued_seconds: float
+    row_version: int = 0
+    may_have_row: bool = False
+    is_claimed: bool = False
+    token: int = 0
+    status: str = "queued"
+    run: GangRun | None = None
+    may_have_run: bool = False
+    is_cancelled: bool = False
+    answer: JobAnswer | None = None
+    final_seconds: float = 0.0
+    final: anyio.Event = attrs.field(factory=anyio.Event)
+
+
+@attrs.frozen(kw_only=True)
+class GangEnded:
+    """Event: an attempt holds no worker any more and has no outcome."""
+
+    run: GangRun
+    reason: str
+    failed_worker_ids: tuple[str, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class JobEnded:
+    """Event: a job has its final outcome."""
+
+    job_id: str
+    answer: JobAnswer
+    succeeded: bool = False
+    failed_worker_ids: tuple[str, ...] = ()
+
+
+def make_row(job, *, phase, data_centre, run=None, reason="", results=()):
+    """Return the table row of a job in its present state.
+
+    Parameters
+    ----------
+    job : OpenJob
+    phase : Phase
+    data_centre : str
+    run : GangRun, optional
+        Attempt that the row is about.
+    reason : str
+    results : tuple of TaskResult
+    """
+    return JobRow(
+        job_id=job.job_id,
+        spec=job.spec,
+        phase=phase,
+        data_centre=data_centre,
+        attempt=run.key.token if run is not None else job.token,
+        owner_id=run.key.holder if run is not None else "",
+        worker_ids=tuple(run.gang.worker_ids) if run is not None else (),
+        reason=reason,
+        results=results,
+    )
+
+
+def make_answer(row, *, is_recorded):
+    """Return the answer to callers for a final row."""
+    return JobAnswer(
+        is_known=True,
+        job_id=row.job_id,
+        phase=row.phase,
+        attempt=row.attempt,
+        reason=row.reason,
+        results=row.results,
+        is_recorded=is_recorded,
+    )
--- a/kingcuptrack/coordination/routing.py
+++ b/kingcuptrack/coordination/routing.py
@@ -184,6 +184,7 @@
             job_id=job.job_id,
             spec=job.spec,
             row_version=row_version,
+            may_have_row=job.may_have_row,
             attempt=job.token,
         )
         outcome = await self.submit(choice, message)
--- a/kingcuptrack/coordination/takeover.py
+++ b/kingcuptrack/coordination/takeover.py
@@ -7,7 +7,7 @@
 
 from ..outcomes import Done
 from ..protocol.codecs import json_converter
-from ..state.jobs import JobSpec, Phase
+from ..state.jobs import FINAL_PHASES, JobSpec, Phase
 from ..state.scheduling import (
     PlacedGang,
     QueuedJob,
@@ -23,10 +23,11 @@
 
 async def rebuild(placer):
     """Fill an empty placer; costs one request per worker and per open job."""
+    context = placer.context
     started_seconds = time.monotonic()
-    set_configuration(placer.scheduler, placer.configuration.current)
+    set_configuration(placer.scheduler, context.configuration.current)
     states = await _read_workers(placer)
-    outcome = await placer.job_table.list_open(placer.settings.data_centre)
+    outcome = await context.job_table.list_open(context.data_centre)
     rows = {}
     if isinstance(outcome, Done):
         rows = {current.row.job_id: current for current in outcome.value}
@@ -34,25 +35,28 @@
         logger.warning("open jobs not listed, using workers only: {}", outcome)
     found = _group_gangs(states)
     for current in rows.values():
-        if current.row.phase == Phase.CLAIMED:
-            await resolve_claimed(
-                placer, current, found.pop(current.row.job_id, {}), states
-            )
-        else:
-            await _fence_unclaimed(placer, found.pop(current.row.job_id, {}), states)
-            placer.take_in_row(current)
+        _resolve_row(placer, current, found.pop(current.row.job_id, {}), states)
     for job_id, gangs in found.items():
         await _resolve_unlisted(placer, job_id, gangs, states)
-    placer.metrics.timing("takeover", 1000.0 * (time.monotonic() - started_seconds))
+    duration_seconds = time.monotonic() - started_seconds
+    context.metrics.timing("takeover", 1000.0 * duration_seconds)
     logger.bind(
         workers_count=len(states),
         jobs_count=len(placer.jobs),
-        duration_seconds=time.monotonic() - started_seconds,
+        duration_seconds=duration_seconds,
     ).info("takeover finished")
 
 
-async def resolve_claimed(placer, current, gangs, states=None):
-    """Adopt the claimed attempt of a row if it is whole, else stop it.
+async def resolve_claimed(placer, current):
+    """Resolve a claimed row found outside a takeover."""
+    states = await _read_workers(placer)
+    gangs = _group_gangs(states).get(current.row.job_id, {})
+    if current.row.job_id not in placer.jobs:
+        _resolve_row(placer, current, gangs, states)
+
+
+def _resolve_row(placer, current, gangs, states):
+    """Adopt or stop the newest attempt of an open row, or queue its job.
 
     Parameters
     ----------
@@ -60,48 +64,65 @@
     current : VersionedJob
     gangs : dict of str to GangState
         What the workers reported of the job, by worker id.
-    states : dict of str to (address, WorkerState), optional
-        Read anew from the workers if not given.
+    states : dict of str to (address, WorkerState)
     """
     row = current.row
-    if states is None:
-        states = await _read_workers(placer)
-        gangs = _group_gangs(states).get(row.job_id, {})
-    job = placer.open_job(
-        row.job_id, row.spec, row_version=current.version, token=row.attempt
-    )
-    key = GangKey(job_id=row.job_id, token=row.attempt, holder=row.owner_id)
-    is_guaranteed = any(
-        gang.details.get("is_guaranteed", False) for gang in gangs.values()
-    )
-    run = _make_run(placer, job, key, row.worker_ids, is_guaranteed, gangs, states)
-    _attach(placer, job, run)
+    newest_token = max((gang.token for gang in gangs.values()), default=0)
+    if newest_token > row.attempt:
+        # Reserved but not claimed yet, or started while the table was down.
+        _resolve_from_workers(placer, gangs, states, row_version=current.version)
+    elif row.phase == Phase.CLAIMED:
+        key = GangKey(job_id=row.job_id, token=row.attempt, holder=row.owner_id)
+        job = placer.open_job(
+            row.job_id, row.spec, row_version=current.version, token=row.attempt
+        )
+        job.is_claimed = True
+        # Without a rerun, an earlier attempt that ran would have made the row final.
+        can_rerun = row.spec.is_repeatable or row.spec.is_checkpointable
+        job.may_have_run = can_rerun and row.attempt > 1
+        run = _make_run(placer, job, key, row.worker_ids, gangs, states)
+        _attach(placer, job, run)
+    else:
+        placer.take_in_row(current)
 
 
 async def _resolve_unlisted(placer, job_id, gangs, states):
     """Resolve gangs that no open row names: held in memory only, or final."""
-    read = await placer.job_table.read(job_id)
+    read = await placer.context.job_table.read(job_id)
     if isinstance(read, Done) and read.value is not None:
-        # The row is final or belongs to another data centre.
-        await _fence_unclaimed(placer, gangs, states)
+        row = read.value.row
+        if row.phase in FINAL_PHASES or row.data_centre != placer.context.data_centre:
+            await _fence(placer, gangs, states)
+            return
+        _resolve_row(placer, read.value, gangs, states)
         return
-    token = max(gang.token for gang in gangs.values())
-    newest = next(gang for gang in gangs.values() if gang.token == token)
+    newest = max(gangs.values(), key=lambda gang: gang.token)
+    _resolve_from_workers(
+        placer, gangs, states, row_version=newest.details["row_version"]
+    )
+
+
+def _resolve_from_workers(placer, gangs, states, *, row_version):
+    """Resolve the newest attempt by what its reservations say about it."""
+    newest = max(gangs.values(), key=lambda gang: gang.token)
     spec = json_converter.structure(newest.details["spec"], JobSpec)
     job = placer.open_job(
-        job_id, spec, row_version=newest.details["row_version"], token=token
+        newest.job_id, spec, row_version=row_version, token=newest.token
     )
-    key = GangKey(job_id=job_id, token=token, holder=newest.holder)
+    job.may_have_run = False
+    key = GangKey(job_id=newest.job_id, token=newest.token, holder=newest.holder)
     worker_ids = tuple(newest.details["worker_ids"])
-    is_guaranteed = newest.details["is_guaranteed"]
-    run = _make_run(placer, job, key, worker_ids, is_guaranteed, gangs, states)
+    run = _make_run(placer, job, key, worker_ids, gangs, states)
     _attach(placer, job, run)
 
 
-def _make_run(placer, job, key, worker_ids, is_guaranteed, gangs, states):
+def _make_run(placer, job, key, worker_ids, gangs, states):
     now_seconds = time.monotonic()
-    lease_seconds = placer.settings.lease_seconds
-    margin_seconds = placer.settings.lease_margin_seconds
+    settings = placer.context.settings
+    margin_seconds = settings.lease_margin_seconds
+    is_guaranteed = any(
+        gang.details.get("is_guaranteed", False) for gang in gangs.values()
+    )
     gang = PlacedGang(
         job=QueuedJob(
             job_id=job.job_id,
@@ -117,7 +138,7 @@
     for worker_id in dict.fromkeys(worker_ids):
         address, state = states.get(worker_id, ("", None))
         if not address:
-            listed = placer.membership.listed.get(worker_id)
+            listed = placer.context.membership.listed.get(worker_id)
             address = listed.address if listed is not None else ""
         gang_state = gangs.get(worker_id)
         is_current = gang_state is not None and gang_state.token == key.token
@@ -136,7 +157,7 @@
             safe_until_seconds=now_seconds
             + (gang_state.lease_remaining_seconds if is_current else 0.0)
             - margin_seconds,
-            lapsed_by_seconds=now_seconds + lease_seconds + margin_seconds,
+            lapsed_by_seconds=now_seconds + settings.lease_seconds + margin_seconds,
             # Only a worker that still shows the bare reservation has surely not
             # started its tasks.
             may_have_started=phase != "reserved",
@@ -148,7 +169,7 @@
     phases = {member.phase for member in run.members.values()}
     adopt_gang(placer.scheduler, run.gang)
     if phases <= {"running", "finished"}:
-        run.started_seconds = time.monotonic()
+        run.mark_started(time.monotonic())
         job.status = "running"
     else:
         job.status = "stopping"
@@ -159,13 +180,13 @@
     placer.attach_run(job, run)
 
 
-async def _fence_unclaimed(placer, gangs, states):
-    """Stop attempts that no row claims, so that they can never start."""
+async def _fence(placer, gangs, states):
+    """Stop attempts of jobs that are final or belong to another data centre."""
     async with anyio.create_task_group() as task_group:
         for worker_id, gang in gangs.items():
             address, _ = states[worker_id]
             key = GangKey(job_id=gang.job_id, token=gang.token, holder=gang.holder)
-            task_group.start_soon(placer.worker_client.stop, address, key)
+            task_group.start_soon(placer.context.worker_client.stop, address, key)
 
 
 def _group_gangs(states):
@@ -189,12 +210,12 @@
 
     async def read_worker(listed):
         async with limiter:
-            outcome = await placer.worker_client.read_state(listed.address)
+            outcome = await placer.context.worker_client.read_state(listed.address)
         if isinstance(outcome, Done):
             states[listed.instance_id] = (listed.address, outcome.value)
             placer.watch.observe_state(listed.address, outcome.value)
 
     async with anyio.create_task_group() as task_group:
-        for listed in placer.membership.listed_workers().values():
+        for listed in placer.context.membership.listed_workers().values():
             task_group.start_soon(read_worker, listed)
     return states
--- a/kingcuptrack/coordination/watchers.py
+++ b/kingcuptrack/coordination/watchers.py
@@ -3,6 +3,7 @@
 import time
 
 import anyio
+import attrs
 from loguru import logger
 
 from ..outcomes import Done, Refused
@@ -18,9 +19,10 @@
 class WorkerWatch:
     """Watches the listed workers of the data centre for its placer."""
 
-    def __init__(self, *, placer, task_group):
-        self._placer = placer
-        self._settings = placer.settings
+    def __init__(self, *, context, scheduler, task_group):
+        self._context = context
+        self._settings = context.settings
+        self._scheduler = scheduler
         self._task_group = task_group
         self._runs = {}
         self._wakeups = {}
@@ -46,23 +48,23 @@
 
     def update_workers(self):
         """Follow the platform's list: watch new workers, mark leaving ones."""
-        listed_workers = self._placer.membership.listed_workers()
+        listed_workers = self._context.membership.listed_workers()
         for worker_id, listed in listed_workers.items():
             if worker_id not in self._wakeups:
                 self._wakeups[worker_id] = anyio.Event()
                 self._task_group.start_soon(self._watch, worker_id)
             worker = self._known_workers.get(worker_id)
             if worker is not None and listed.is_leaving and not worker.is_leaving:
-                self.observe_worker(_replace_leaving(worker, True))
+                self.observe_worker(attrs.evolve(worker, is_leaving=True))
 
     def observe_worker(self, worker):
         """Store what is known of a worker and tell the scheduler."""
         self._known_workers[worker.worker_id] = worker
-        set_worker(self._placer.scheduler, worker)
+        set_worker(self._scheduler, worker)
 
     def observe_state(self, address, state):
         """Store the state that a worker reported; return its `Worker`."""
-        listed = self._placer.membership.listed.get(state.worker_id)
+        listed = self._context.membership.listed.get(state.worker_id)
         worker = Worker(
             worker_id=state.worker_id,
             data_centre=state.data_centre,
@@ -79,7 +81,7 @@
     async def _watch(self, worker_id):
         failures_count = 0
         while True:
-            listed = self._placer.membership.listed.get(worker_id)
+            listed = self._context.membership.listed.get(worker_id)
             runs = dict(self._runs.get(worker_id, {}))
             if listed is None and not runs:
                 break
@@ -96,7 +98,7 @@
 
     def _forget(self, worker_id):
         if self._known_workers.pop(worker_id, None) is not None:
-            remove_worker(self._placer.scheduler, worker_id)
+            remove_worker(self._scheduler, worker_id)
 
     async def _pause(self, worker_id):
         runs = self._runs.get(worker_id, {})
@@ -107,7 +109,7 @@
         elif worker_id not in self._known_workers:
             interval_seconds = min(1.0, interval_seconds)
         for run in runs.values():
-            if run.started_seconds:
+            if run.is_started:
                 running_seconds = now_seconds - run.started_seconds
                 poll_seconds = max(
                     POLL_MINIMUM_SECONDS, POLL_FRACTION * running_seconds
@@ -122,7 +124,7 @@
         """Renew all leases at a worker in one request."""
         address = next(iter(runs.values())).members[worker_id].address
         sent_seconds = time.monotonic()
-        outcome = await self._placer.worker_client.renew(
+        outcome = await self._context.worker_client.renew(
             address,
             [run.key for run in runs.values()],
             lease_seconds=self._settings.lease_seconds,
@@ -130,7 +132,7 @@
         if not isinstance(outcome, Done):
             if not isinstance(outcome, Refused):
                 for run in runs.values():
-                    self._placer.gang_calls.note_lease(
+                    self._context.gang_calls.note_lease(
                         run.members[worker_id], sent_seconds, outcome
                     )
             logger.debug("leases at {} not renewed: {}", worker_id, outcome)
@@ -139,33 +141,21 @@
         states = {(gang.job_id, gang.token): gang for gang in answer.gangs}
         for run in runs.values():
             state = states.get((run.key.job_id, run.key.token))
-            if state is None or not run.started_seconds:
+            if state is None:
                 continue
             if state.phase in ("reserved", "running", "finished"):
-                self._placer.gang_calls.note_lease(
+                self._context.gang_calls.note_lease(
                     run.members[worker_id], sent_seconds, outcome
                 )
-            run.observe(worker_id, answer.incarnation, state)
+            run.observe(worker_id, answer.incarnation, state, sent_seconds=sent_seconds)
         worker = self._known_workers.get(worker_id)
         if worker is not None and answer.is_leaving and not worker.is_leaving:
-            self.observe_worker(_replace_leaving(worker, True))
+            self.observe_worker(attrs.evolve(worker, is_leaving=True))
         return True
 
     async def _read_state(self, worker_id, address):
-        outcome = await self._placer.worker_client.read_state(address)
+        outcome = await self._context.worker_client.read_state(address)
         if not isinstance(outcome, Done):
             return False
         self.observe_state(address, outcome.value)
         return True
-
-
-def _replace_leaving(worker, is_leaving):
-    return Worker(
-        worker_id=worker.worker_id,
-        data_centre=worker.data_centre,
-        rack=worker.rack,
-        address=worker.address,
-        incarnation=worker.incarnation,
-        capacity=worker.capacity,
-        is_leaving=is_leaving,
-    )
--- a/kingcuptrack/protocol/messages.py
+++ b/kingcuptrack/protocol/messages.py
@@ -46,12 +46,15 @@
 class SubmitJob:
     """Request to queue a job at the placer; idempotent by job id.
 
-    ``row_version`` is the version of the job row, 0 if it could not be recorded.
+    ``row_version`` is the version of the job row, 0 if it is not known to exist;
+    ``may_have_row`` is true if its insertion may yet take effect. ``attempt`` is the
+    newest fencing token used; a job that had one may have run in part.
     """
 
     job_id: str
     spec: JobSpec
     row_version: int
+    may_have_row: bool = False
     attempt: int = 0
 
 
--- a/kingcuptrack/transport/workers.py
+++ b/kingcuptrack/transport/workers.py
@@ -37,7 +37,10 @@
 
 @attrs.frozen(kw_only=True)
 class GangState:
-    """Tasks of one gang attempt at a worker; phase ``absent`` if it has none."""
+    """Tasks of one gang attempt at a worker; phase ``absent`` if it has none.
+
+    ``was_started`` stays true after the tasks ended.
+    """
 
     job_id: str
     token: int
@@ -46,6 +49,7 @@
     tasks: tuple[TaskState, ...] = ()
     shape: Shape | None = None
     lease_remaining_seconds: float = 0.0
+    was_started: bool = False
     details: dict = attrs.field(factory=dict)
 
 
@@ -124,8 +128,12 @@
         return await self._call(address, "throttle", cattrs.unstructure(key))
 
     async def stop(self, address, key):
-        """Stop a gang and fence its token and all older ones of the job."""
-        return await self._call(address, "stop", cattrs.unstructure(key))
+        """Stop a gang and fence its token and all older ones of the job.
+
+        Done holds the `GangState` as it was left; its ``was_started`` tells whether
+        the tasks were ever started.
+        """
+        return await self._call(address, "stop", cattrs.unstructure(key), GangState)
 
     async def forget(self, address, key):
         """Let the worker drop the results of a finished gang."""
