--- a/emulator/platform.py
+++ b/emulator/platform.py
@@ -133,7 +133,12 @@
 
 
 def parse_fault(body):
-    """Return the fault that a request for ``/control/faults`` describes."""
+    """Return the fault that a request for ``/control/faults`` describes.
+
+    Modes are those of `faults.fault_layer`, and ``up``, which removes the faults of the
+    service that match the given filters. ``closes_connection`` makes ``down`` close
+    the connection instead of answering 503. The newest matching fault applies.
+    """
     service = field_of(body, "service", str, default="all")
     mode = field_of(body, "mode", str)
     if service not in (*SERVICES, "all"):
--- a/emulator/workers.py
+++ b/emulator/workers.py
@@ -145,7 +145,20 @@
 
 
 def parse_fault(body, worker_ids):
-    """Return the fault that a request for ``/control/faults`` describes."""
+    """Return the fault that a request for ``/control/faults`` describes.
+
+    - ``slow``, ``late``, ``lose_response``: see `faults.fault_layer`.
+    - ``vanish``: calls are not applied and the connection is closed; tasks and leases
+      continue, as on a machine that is cut off.
+    - ``restart_empty``: once, everything but checkpoints is lost and the incarnation
+      changes, as after a crash; with ``vanish`` the machine stays away.
+    - ``fail_starts``: starts are accepted and all tasks fail at once.
+    - ``unstoppable``: stop is answered 503 and has no effect.
+    - ``corrupt_result``, ``wrong_result``: a result has an altered body, or is that of
+      another finished task of the worker, if there is one.
+    - ``leaving``: reservations are refused and the instance list is told.
+    - ``up``: removes the faults of the worker and ends ``leaving``.
+    """
     worker_id = field_of(body, "worker_id", str)
     mode = field_of(body, "mode", str)
     if worker_id != "*" and worker_id not in worker_ids:
