Give each job of the load tool its own connections

Cause: one httpcore.AsyncConnectionPool shared by all jobs limited the tool.

Change: one pool a job, and at most 500 jobs followed at the same time.

--- a/emulator/load.py
+++ b/emulator/load.py
@@ -27,7 +27,8 @@
 )
 from kingcuptrack.state.shapes import Shape
 
-CONNECTIONS_COUNT = 500
+# Jobs followed at the same time; others wait, which counts as completion time.
+OPEN_JOBS_COUNT = 500
 POLL_SECONDS = 10
 REQUEST_TIMEOUT_SECONDS = POLL_SECONDS + 5.0
 RETRY_SECONDS = 0.2
@@ -162,10 +163,31 @@
     return ""
 
 
-async def run_job(planned, *, pool, entry_urls, report, first_index):
+async def run_job(planned, *, limiter, entry_urls, report, first_index):
     """Submit one job, follow it to its outcome and add that to the report."""
     await anyio.sleep(planned.at_seconds)
     submitted_seconds = time.monotonic()
+    # One pool for all jobs would cost more processor time with every connection,
+    # because httpcore looks at all of them on each request.
+    async with limiter, httpcore.AsyncConnectionPool() as pool:
+        outcome, job_id, answer = await follow_job(
+            planned,
+            pool=pool,
+            entry_urls=entry_urls,
+            report=report,
+            first_index=first_index,
+        )
+    report.outcomes[outcome] += 1
+    if outcome == "done":
+        elapsed_seconds = time.monotonic() - submitted_seconds
+        report.completion_seconds[planned.spec.urgency].append(elapsed_seconds)
+        problem = find_wrong_answer(planned, job_id, answer)
+        if problem:
+            report.wrong_answers.append({"job_id": job_id, "problem": problem})
+
+
+async def follow_job(planned, *, pool, entry_urls, report, first_index):
+    """Return the final outcome of a job, its id and the answer that stated it."""
     job_id = make_job_id(planned.spec.organisation, planned.spec.idempotency_key)
     body = json.dumps(cattrs.unstructure(planned.spec)).encode()
     method, path = "POST", "/v1/jobs"
@@ -180,7 +202,7 @@
             continue
         outcome = final_outcome(status, answer)
         if outcome:
-            break
+            return outcome, job_id, answer
         if status >= 500:
             index += 1
             await anyio.sleep(RETRY_SECONDS)
@@ -190,13 +212,6 @@
             await anyio.sleep(POLL_PAUSE_SECONDS)
         method, body = "GET", b""
         path = f"/v1/jobs/{answer.get('job_id', job_id)}?wait_seconds={POLL_SECONDS}"
-    report.outcomes[outcome] += 1
-    if outcome == "done":
-        elapsed_seconds = time.monotonic() - submitted_seconds
-        report.completion_seconds[planned.spec.urgency].append(elapsed_seconds)
-        problem = find_wrong_answer(planned, job_id, answer)
-        if problem:
-            report.wrong_answers.append({"job_id": job_id, "problem": problem})
 
 
 async def send(pool, method, url, body):
@@ -251,21 +266,21 @@
 async def run_load(jobs, *, entry_urls, limit_seconds):
     """Run planned jobs and return the report; stops waiting at the limit."""
     report = Report()
-    async with httpcore.AsyncConnectionPool(max_connections=CONNECTIONS_COUNT) as pool:
-        with anyio.move_on_after(limit_seconds):
-            async with anyio.create_task_group() as tasks:
-                for index, planned in enumerate(jobs):
-
-                    async def run(planned=planned, index=index):
-                        await run_job(
-                            planned,
-                            pool=pool,
-                            entry_urls=entry_urls,
-                            report=report,
-                            first_index=index,
-                        )
-
-                    tasks.start_soon(run)
+    limiter = anyio.CapacityLimiter(OPEN_JOBS_COUNT)
+    with anyio.move_on_after(limit_seconds):
+        async with anyio.create_task_group() as tasks:
+            for index, planned in enumerate(jobs):
+
+                async def run(planned=planned, index=index):
+                    await run_job(
+                        planned,
+                        limiter=limiter,
+                        entry_urls=entry_urls,
+                        report=report,
+                        first_index=index,
+                    )
+
+                tasks.start_soon(run)
     return report
 
 
