Run test modules in parallel processes

Cause: integration tests wait most of their time, and all of them have to fit into five minutes. Change: each module runs in a process of its own, four at a time; a module that crashes counts as failed.

--- a/tests/run.py
+++ b/tests/run.py
@@ -1,24 +1,35 @@
 """Test runner: runs every test module and prints ``N passed, N failed``.
 
-Tests listed in KNOWN-RED.txt are reported and do not fail the run; a listed
-test that passes does, so that the list stays true.
+Each module runs in a process of its own, several at a time. Tests listed in
+KNOWN-RED.txt are reported and do not fail the run; a listed test that passes does,
+so that the list stays true.
 """
 
+import json
+import subprocess
 import sys
 import time
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
+import attrs
+
 ROOT = Path(__file__).resolve().parent.parent
+MODULES_AT_ONCE_COUNT = 4
+# A module that runs longer than this hangs; it counts as failed.
+MODULE_TIMEOUT_SECONDS = 600.0
+SLOW_TEST_SECONDS = 1.0
+MODULE_OPTION = "--module"
 
 
 class CountingResult(unittest.TextTestResult):
-    """Test result that records the ids of passed and failed tests."""
+    """Test result that records the names of passed and failed tests."""
 
     def __init__(self, *args, **kwargs):
         super().__init__(*args, **kwargs)
-        self.passed_ids = []
-        self.failed_ids = []
+        self.passed_names = []
+        self.failed_names = []
         self._started_seconds = 0.0
 
     def startTest(self, test):  # noqa: N802
@@ -27,23 +38,34 @@
 
     def addSuccess(self, test):  # noqa: N802
         super().addSuccess(test)
-        self.passed_ids.append(test_name(test))
+        self.passed_names.append(test_name(test))
 
     def addFailure(self, test, err):  # noqa: N802
         super().addFailure(test, err)
-        self.failed_ids.append(test_name(test))
+        self.failed_names.append(test_name(test))
 
     def addError(self, test, err):  # noqa: N802
         super().addError(test, err)
-        self.failed_ids.append(test_name(test))
+        self.failed_names.append(test_name(test))
 
     def stopTest(self, test):  # noqa: N802
         super().stopTest(test)
         duration_seconds = time.monotonic() - self._started_seconds
-        if duration_seconds > 1.0:
+        if duration_seconds > SLOW_TEST_SECONDS:
             self.stream.writeln(f"  {test_name(test)}: {duration_seconds:.1f} s")
 
 
+@attrs.frozen(kw_only=True)
+class ModuleReport:
+    """Outcome of one module: names of its tests, and its output."""
+
+    module: str
+    passed: tuple
+    failed: tuple
+    output: str
+    duration_seconds: float
+
+
 def test_name(test):
     """Return ``module.function`` for function tests, else the unittest id."""
     function = getattr(test, "_testFunc", None)
@@ -63,34 +85,92 @@
     }
 
 
-def main():
+def main(arguments):
     """Run the tests whose names contain any argument (all without arguments)."""
+    if arguments[:1] == [MODULE_OPTION]:
+        return run_module(arguments[1], arguments[2:])
+    modules = sorted(path.stem for path in (ROOT / "tests").glob("test_*.py"))
+    with ThreadPoolExecutor(MODULES_AT_ONCE_COUNT) as executor:
+        reports = list(
+            executor.map(lambda module: run_in_process(module, arguments), modules)
+        )
+    for report in reports:
+        if report.output and (report.passed or report.failed):
+            print(f"{report.module} ({report.duration_seconds:.1f} s)")
+            print(report.output, end="")
+    return summarise(reports)
+
+
+def summarise(reports):
+    """Print the verdict over all modules; return the exit code."""
+    known_red = read_known_red()
+    passed = [name for report in reports for name in report.passed]
+    failed = [name for report in reports for name in report.failed]
+    unexpected = [name for name in failed if name not in known_red]
+    fixed = [name for name in passed if name in known_red]
+    for name in sorted(set(failed) & known_red):
+        print(f"known red: {name}")
+    for name in fixed:
+        print(f"listed in KNOWN-RED.txt but passed: {name}")
+    for name in unexpected:
+        print(f"failed: {name}")
+    failed_count = len(unexpected) + len(fixed)
+    print(f"{len(passed) - len(fixed)} passed, {failed_count} failed")
+    return 1 if failed_count or not passed else 0
+
+
+def run_in_process(module, patterns):
+    """Run one module in a process of its own; return its `ModuleReport`."""
+    started_seconds = time.monotonic()
+    command = [sys.executable, "-m", "tests.run", MODULE_OPTION, module, *patterns]
+    try:
+        completed = subprocess.run(
+            command,
+            cwd=ROOT,
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+            errors="replace",
+            timeout=MODULE_TIMEOUT_SECONDS,
+        )
+        output = completed.stdout
+    except subprocess.TimeoutExpired as error:
+        output = (error.stdout or b"").decode(errors="replace")
+    body, _, last_line = output.rstrip("\n").rpartition("\n")
+    try:
+        names = json.loads(last_line)
+    except ValueError:
+        # The process was ended or crashed before its report.
+        body, names = output, {"passed": [], "failed": [f"tests.{module}"]}
+    return ModuleReport(
+        module=module,
+        passed=tuple(names["passed"]),
+        failed=tuple(names["failed"]),
+        output=body + "\n" if body else "",
+        duration_seconds=time.monotonic() - started_seconds,
+    )
+
+
+def run_module(module, patterns):
+    """Run one module here; the last line printed is the report as JSON."""
     loader = unittest.TestLoader()
-    suite = loader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT))
-    if loader.errors:
-        print("\n".join(loader.errors))
-        return 1
-    patterns = sys.argv[1:]
+    suite = loader.loadTestsFromName(f"tests.{module}")
     tests = [
         test
         for test in iterate_tests(suite)
         if not patterns or any(pattern in test_name(test) for pattern in patterns)
     ]
-    runner = unittest.TextTestRunner(resultclass=CountingResult, verbosity=1)
-    result = runner.run(unittest.TestSuite(tests))
-    known_red = read_known_red()
-    expected = [name for name in result.failed_ids if name in known_red]
-    failed = [name for name in result.failed_ids if name not in known_red]
-    fixed = [name for name in result.passed_ids if name in known_red]
-    for name in expected:
-        print(f"known red: {name}")
-    for name in fixed:
-        print(f"listed in KNOWN-RED.txt but passed: {name}")
-    for name in failed:
-        print(f"failed: {name}")
-    failed_count = len(failed) + len(fixed)
-    print(f"{len(result.passed_ids) - len(fixed)} passed, {failed_count} failed")
-    return 1 if failed_count or not result.passed_ids else 0
+    failed_names = []
+    passed_names = []
+    if tests:
+        runner = unittest.TextTestRunner(
+            stream=sys.stdout, resultclass=CountingResult, verbosity=0
+        )
+        result = runner.run(unittest.TestSuite(tests))
+        passed_names, failed_names = result.passed_names, result.failed_names
+    print(json.dumps({"passed": passed_names, "failed": failed_names}))
+    return 0
 
 
 def iterate_tests(suite):
@@ -103,4 +183,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(sys.argv[1:]))
