Do not record a configuration that changes nothing

Cause: every instance that hears of a take-out notice tries to record it, and each of them wrote a new version, with the notice recorded already. Ruled out: letting only one instance record a notice, since that one may be cut off from the table. Change: a change that leaves the newest row as it is writes nothing and answers with that row.

--- a/kingcuptrack/coordination/configuration.py
+++ b/kingcuptrack/coordination/configuration.py
@@ -108,7 +108,8 @@
         Returns
         -------
         Done, Refused or Unknown
-            Done holds the recorded `Configuration`. Refused with code
+            Done holds the recorded `Configuration`, the current one if the change
+            has no effect on it. Refused with code
             ``conflict`` holds the newer one as detail.
         """
         while True:
@@ -123,7 +124,12 @@
                     message=f"version is {current.version}, not {expected_version}",
                     detail=current,
                 )
-            following = attrs.evolve(make_next(current), version=current.version + 1)
+            following = make_next(current)
+            if following == current:
+                # Every instance that hears of a notice tries to record it.
+                self.apply(current)
+                return Done(value=current)
+            following = attrs.evolve(following, version=current.version + 1)
             outcome = await self._write_row(row, following)
             is_race = isinstance(outcome, Refused) and outcome.code == "conflict"
             if is_race and expected_version is None:
