Compute the use of organisations and name instances that did not confirm

Cause: the status had no organisations, a data centre whose placer did not answer looked like one without workers, and a take-out counted as in force although a silent instance of the data centre had not confirmed it. Change: plan, guarantee, quota, use and waiting for each organisation from the placers' answers; data centres without an answer are named and have no figures; listed instances that were never heard from appear with version 0; a take-out names the instances that have not confirmed it. The question to the own placer is bounded too, since it may be rebuilding.

--- a/kingcuptrack/coordination/operators.py
+++ b/kingcuptrack/coordination/operators.py
@@ -3,12 +3,16 @@
 import time
 
 import anyio
+import attrs
 
 from ..outcomes import Done, Refused
 from ..protocol.bodies import encode_findings
 from ..protocol.messages import DescribeDataCentre
 from ..state.plans import parse_lists
 
+# States of a job in which its gang holds workers.
+HOLDING_STATUSES = ("starting", "running", "stopping")
+
 
 class Operators:
     """Handles requests of operators; every method returns status and JSON body."""
@@ -47,7 +51,7 @@
         """Take a data centre out of service."""
         findings = self._configuration.check_data_centre(data_centre)
         if findings:
-            return 404, {"findings": encode_findings(findings)}
+            return _unknown_data_centre(findings)
         notice, outcome = await self._configuration.take_out(data_centre)
         status, answer = self._change_answer(outcome)
         if not isinstance(outcome, Done):
@@ -60,22 +64,55 @@
         """Bring a data centre back into service."""
         findings = self._configuration.check_data_centre(data_centre)
         if findings:
-            return 404, {"findings": encode_findings(findings)}
+            return _unknown_data_centre(findings)
         return self._change_answer(await self._configuration.bring_back(data_centre))
 
+    async def read_status(self):
+        """Return the state of data centres, workers and organisations."""
+        names, descriptions = await self.describe()
+        out = self._configuration.data_centres_out()
+        current = self._configuration.current
+        return {
+            "version": current.version,
+            "data_centres": [
+                describe_data_centre(name, descriptions.get(name), name not in out)
+                for name in names
+            ],
+            "organisations": describe_organisations(current, descriptions.values()),
+            # The figures of organisations leave these data centres out.
+            "unanswered_data_centres": [
+                name for name in names if name not in descriptions
+            ],
+            "in_force": self._in_force(),
+        }
+
     async def describe(self):
-        """Return the state of all data centres, workers, organisations and jobs."""
-        names = sorted(self._membership.known_data_centres)
+        """Ask all placers.
+
+        Returns
+        -------
+        names : list of str
+            All data centres that an instance, a worker or a list names.
+        descriptions : dict of str to DataCentreDescription
+            Without the data centres whose placer did not answer.
+        """
+        listed = {item.data_centre for item in self._membership.listed.values()}
+        names = sorted(
+            listed
+            | self._membership.known_data_centres
+            | self._configuration.data_centres_out()
+        )
         descriptions = {}
+        timeout_seconds = self._settings.peer_call_timeout_seconds
 
         async def describe_one(name):
-            outcome = await self._router.ask_placer(
-                name,
-                DescribeDataCentre(),
-                timeout_seconds=self._settings.peer_call_timeout_seconds,
-            )
-            if isinstance(outcome, Done) and outcome.value is not None:
-                descriptions[name] = outcome.value
+            # The bound holds for the own placer too, which may be rebuilding.
+            with anyio.move_on_after(timeout_seconds):
+                outcome = await self._router.ask_placer(
+                    name, DescribeDataCentre(), timeout_seconds=timeout_seconds
+                )
+                if isinstance(outcome, Done) and outcome.value is not None:
+                    descriptions[name] = outcome.value
 
         async with anyio.create_task_group() as task_group:
             for name in names:
@@ -88,11 +125,24 @@
         rows = []
         for info in self._membership.live_instances():
             rows.append(self._describe_instance(info, 0.0))
-        live_ids = {row["instance_id"] for row in rows}
+        known_ids = {row["instance_id"] for row in rows}
         for peer in self._membership.peers.values():
-            if peer.info.instance_id not in live_ids:
+            if peer.info.instance_id not in known_ids:
                 silent_seconds = now_seconds - peer.heard_seconds
                 rows.append(self._describe_instance(peer.info, silent_seconds))
+        known_ids |= set(self._membership.peers)
+        for listed in self._membership.listed.values():
+            if listed.kind == "entry" and listed.instance_id not in known_ids:
+                rows.append(
+                    {
+                        "instance_id": listed.instance_id,
+                        "data_centre": listed.data_centre,
+                        "version": 0,
+                        "is_leaving": listed.is_leaving,
+                        # Listed by the platform and never heard from.
+                        "silent_seconds": None,
+                    }
+                )
         return sorted(rows, key=lambda row: row["instance_id"])
 
     def _describe_instance(self, info, silent_seconds):
@@ -105,7 +155,10 @@
         }
 
     def _notice_in_force(self, notice, data_centre):
-        """Return whether every live instance of the data centre knows a notice."""
+        """Return which instances of the data centre are known to know a notice.
+
+        Silent instances count as not knowing it: cut off, they may still place.
+        """
         infos = self._membership.live_instances(data_centre)
         recorded = notice.notice_id in self._configuration.current.notice_ids
         version = self._configuration.current.version if recorded else None
@@ -115,8 +168,18 @@
             if notice.notice_id in info.notice_ids
             or (version is not None and info.configuration_version >= version)
         ]
-        is_in_force = bool(infos) and len(confirmed) == len(infos)
-        return {"is_in_force": is_in_force, "confirmed_by": confirmed}
+        unconfirmed = [
+            row["instance_id"]
+            for row in self._in_force()
+            if row["data_centre"] == data_centre
+            and row["instance_id"] not in confirmed
+            and not (row["is_leaving"] and row["silent_seconds"])
+        ]
+        return {
+            "is_in_force": bool(confirmed) and not unconfirmed,
+            "confirmed_by": confirmed,
+            "unconfirmed": unconfirmed,
+        }
 
     def _change_answer(self, outcome):
         if isinstance(outcome, Done):
@@ -138,3 +201,87 @@
             status = {"conflict": 409, "findings": 422}.get(outcome.code, 503)
             return status, answer
         return 503, {"outcome": "unknown", "reason": outcome.message}
+
+
+def describe_data_centre(name, description, is_in_service):
+    """Return one data centre as JSON; without a description nothing is known of it."""
+    is_answering = description is not None
+    body = {
+        "data_centre": name,
+        "is_in_service": is_in_service,
+        "is_answering": is_answering,
+        "placer_id": None,
+        "workers": None,
+        "jobs_count": None,
+    }
+    if is_answering:
+        body["placer_id"] = description.placer_id
+        body["workers"] = [attrs.asdict(worker) for worker in description.workers]
+        body["jobs_count"] = len(description.jobs)
+    return body
+
+
+def describe_organisations(configuration, descriptions):
+    """Return plan and use of each organisation, summed over data centres.
+
+    An organisation that is no longer listed but has jobs has an empty plan.
+    """
+    jobs = [job for description in descriptions for job in description.jobs]
+    names = set(configuration.plan_by_organisation)
+    names |= {job.organisation for job in jobs}
+    rows = []
+    for name in sorted(names):
+        own = [job for job in jobs if job.organisation == name]
+        holding = [job for job in own if job.status in HOLDING_STATUSES]
+        waiting = [job for job in own if job.status == "queued"]
+        plan_name = configuration.plan_by_organisation.get(name, "")
+        rows.append(
+            {
+                "organisation": name,
+                "plan": plan_name,
+                **_describe_plan(configuration.plans.get(plan_name)),
+                "in_use_guaranteed_accelerators_count": sum(
+                    job.accelerators_count for job in holding if job.is_guaranteed
+                ),
+                "in_use_borrowed_accelerators_count": sum(
+                    job.accelerators_count for job in holding if not job.is_guaranteed
+                ),
+                "waiting_accelerators_count": sum(
+                    job.accelerators_count for job in waiting
+                ),
+                "running_jobs_count": len(holding),
+                "waiting_jobs_count": len(waiting),
+            }
+        )
+    return rows
+
+
+def _describe_plan(plan):
+    if plan is None:
+        counts = (0, 0, 0, 0)
+    else:
+        gang_accelerators_count = (
+            plan.guaranteed_tasks_count * plan.guaranteed_shape.accelerators_count
+        )
+        counts = (
+            plan.guaranteed_gangs_count,
+            plan.guaranteed_tasks_count,
+            plan.guaranteed_gangs_count * gang_accelerators_count,
+            plan.quota_accelerators_count,
+        )
+    keys = (
+        "guaranteed_gangs_count",
+        "guaranteed_tasks_count",
+        "guaranteed_accelerators_count",
+        "quota_accelerators_count",
+    )
+    return dict(zip(keys, counts, strict=True))
+
+
+def _unknown_data_centre(findings):
+    return 404, {
+        "outcome": "not_recorded",
+        "code": "unknown_data_centre",
+        "reason": findings[0].message,
+        "findings": encode_findings(findings),
+    }
