Give each kind of bad input its own error

Cause: an unpaired surrogate in a key raised an internal error; a bad wait_seconds was answered with not_run about a job that may run; bodies in UTF-16 were accepted; repeated JSON keys lost a value; names in lists had no limits; only the first bad line of an INI file was reported; unknown paths were answered in plain text. Change: findings for each, job ids checked before the table is asked, outcome not_run only for submissions and not_recorded only for changes, JSON for unknown paths, and the status computed by the operators.

--- a/kingcuptrack/coordination/application.py
+++ b/kingcuptrack/coordination/application.py
@@ -1,19 +1,26 @@
 """HTTP routes for callers and operators."""
 
+import re
+
 import attrs
 from loguru import logger
 from starlette.applications import Starlette
-from starlette.responses import JSONResponse
+from starlette.exceptions import HTTPException
+from starlette.requests import ClientDisconnect
+from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
 from ..findings import Finding, Place
 from ..protocol.bodies import (
+    JobBody,
     encode_body,
     encode_findings,
     parse_job_spec,
     parse_lists_body,
 )
 
+JOB_ID_PATTERN = re.compile("[0-9a-f]{32}")
+
 
 class BodyTooLargeError(Exception):
     """The body of a request exceeds the limit."""
@@ -54,26 +61,32 @@
     def wait_findings():
         message = f"must be a number from 0 to {settings.wait_limit_seconds:g}"
         place = Place(file="query", key="wait_seconds")
-        return invalid([Finding(place=place, message=message)])
+        return [Finding(place=place, message=message)]
 
     async def submit(request):
         wait_seconds = read_wait(request)
-        if wait_seconds is None:
-            return wait_findings()
         spec, findings = parse_job_spec(await read_body(request))
+        if wait_seconds is None:
+            findings = wait_findings() + findings
         if findings:
-            return invalid(findings)
+            return invalid(findings, outcome="not_run")
         return job_response(await front.submit(spec, wait_seconds=wait_seconds))
 
     async def read_job(request):
         wait_seconds = read_wait(request)
         if wait_seconds is None:
-            return wait_findings()
+            # The job may run: nothing is said about its outcome.
+            return invalid(wait_findings())
         job_id = request.path_params["job_id"]
+        if not JOB_ID_PATTERN.fullmatch(job_id):
+            return unknown_job(job_id)
         return job_response(await front.read(job_id, wait_seconds=wait_seconds))
 
     async def cancel_job(request):
-        return job_response(await front.cancel(request.path_params["job_id"]))
+        job_id = request.path_params["job_id"]
+        if not JOB_ID_PATTERN.fullmatch(job_id):
+            return unknown_job(job_id)
+        return job_response(await front.cancel(job_id))
 
     async def read_configuration(request):
         status, body = operators.read_configuration()
@@ -89,7 +102,7 @@
     async def set_configuration(request):
         lists, findings = parse_lists_body(await read_body(request))
         if findings:
-            return invalid(findings)
+            return invalid(findings, outcome="not_recorded")
         status, body = await operators.set_lists(lists)
         return JSONResponse(body, status_code=status)
 
@@ -102,26 +115,17 @@
         return JSONResponse(body, status_code=status)
 
     async def read_status(request):
-        names, descriptions = await operators.describe()
-        configuration = operators.read_configuration()[1]
-        body = {
-            "data_centres": [
-                describe_data_centre(name, descriptions, configuration)
-                for name in names
-            ],
-            "in_force": configuration["in_force"],
-            "version": configuration["version"],
-        }
-        return JSONResponse(body)
+        return JSONResponse(await operators.read_status())
 
     async def read_status_jobs(request):
-        _, descriptions = await operators.describe()
+        names, descriptions = await operators.describe()
         jobs = [
             {"data_centre": name, **attrs.asdict(job)}
             for name, description in sorted(descriptions.items())
             for job in description.jobs
         ]
-        return JSONResponse({"jobs": jobs})
+        unanswered = [name for name in names if name not in descriptions]
+        return JSONResponse({"jobs": jobs, "unanswered_data_centres": unanswered})
 
     async def health(request):
         ready = is_ready()
@@ -130,7 +134,17 @@
     async def too_large(request, error):
         message = f"larger than {settings.request_body_limit_bytes} bytes"
         finding = Finding(place=Place(file="body"), message=message)
-        return invalid([finding], status=413)
+        is_job = request.url.path.startswith("/v1/jobs")
+        outcome = "not_run" if is_job else "not_recorded"
+        return invalid([finding], status=413, outcome=outcome)
+
+    async def wrong_path(request, error):
+        body = {"code": "no_such_call", "reason": error.detail}
+        return JSONResponse(body, status_code=error.status_code, headers=error.headers)
+
+    async def disconnected(request, error):
+        # Nobody reads the answer; the body was incomplete, so nothing was done.
+        return Response(status_code=400)
 
     async def fail(request, error):
         # The request may have taken effect before the error.
@@ -152,33 +166,30 @@
             Route("/v1/status/jobs", read_status_jobs, methods=["GET"]),
             Route("/health", health, methods=["GET"]),
         ],
-        exception_handlers={BodyTooLargeError: too_large, Exception: fail},
+        exception_handlers={
+            BodyTooLargeError: too_large,
+            ClientDisconnect: disconnected,
+            HTTPException: wrong_path,
+            Exception: fail,
+        },
     )
 
 
-def describe_data_centre(name, descriptions, configuration):
-    """Return the JSON description of one data centre for operators."""
-    description = descriptions.get(name)
-    body = {
-        "data_centre": name,
-        "is_in_service": name not in configuration["data_centres_out"],
-        "placer_id": None,
-        "workers": [],
-        "jobs_count": 0,
-    }
-    if description is not None:
-        body["placer_id"] = description.placer_id
-        body["workers"] = [attrs.asdict(worker) for worker in description.workers]
-        body["jobs_count"] = len(description.jobs)
-    return body
-
-
-def invalid(findings, *, status=422):
-    """Return the response to a request that has findings; it did not run."""
-    body = {"outcome": "not_run", "findings": encode_findings(findings)}
+def invalid(findings, *, status=422, outcome=""):
+    """Return the response to a request that has findings and changed nothing."""
+    body = {"code": "findings", "findings": encode_findings(findings)}
+    if outcome:
+        body = {"outcome": outcome, **body}
     return JSONResponse(body, status_code=status)
 
 
+def unknown_job(job_id):
+    """Return the response about an id that no job can have."""
+    reason = "no such job; a job id has 32 hexadecimal digits"
+    body = JobBody(job_id=job_id, outcome="unknown", code="unknown_job", reason=reason)
+    return JSONResponse(encode_body(body), status_code=404)
+
+
 def job_response(reply):
     """Return the response for a reply of the front."""
     headers = {}
--- a/kingcuptrack/ini.py
+++ b/kingcuptrack/ini.py
@@ -37,16 +37,28 @@
     findings : list of Finding
         Syntax errors, duplicate sections and duplicate keys.
     """
-    parser = configparser.ConfigParser(interpolation=None, strict=False)
+    # Without a section for defaults, one named DEFAULT is like any other.
+    parser = configparser.ConfigParser(
+        interpolation=None, strict=False, default_section=""
+    )
     # Keeps the case of keys, so that findings show them as written.
     parser.optionxform = str
+    findings = []
     try:
         parser.read_string(text, source=file)
-    except configparser.Error as error:
-        line = _error_line(error)
-        message = str(error).splitlines()[0]
-        return {}, [Finding(place=Place(file=file, line=line), message=message)]
-    section_lines, key_lines, findings = _locate_lines(text, file=file)
+    except configparser.MissingSectionHeaderError as error:
+        place = Place(file=file, line=error.lineno)
+        return {}, [Finding(place=place, message="a key before the first section")]
+    except configparser.ParsingError as error:
+        # Raised after everything else has been parsed.
+        findings = [
+            Finding(
+                place=Place(file=file, line=line), message="neither key nor section"
+            )
+            for line, _ in error.errors
+        ]
+    section_lines, key_lines, more = _locate_lines(text, file=file)
+    findings += more
     sections = {
         name: IniSection(
             name=name,
@@ -61,19 +73,12 @@
     return sections, findings
 
 
-def _error_line(error):
-    if isinstance(error, configparser.MissingSectionHeaderError):
-        return error.lineno
-    errors = getattr(error, "errors", None)
-    return errors[0][0] if errors else getattr(error, "lineno", 0) or 0
-
-
 def _locate_lines(text, *, file):
     section_lines = {}
     key_lines = {}
     findings = []
     section = ""
-    for line_number, line in enumerate(text.splitlines(), start=1):
+    for line_number, line in enumerate(text.split("\n"), start=1):
         header = _SECTION_LINE.match(line)
         if header:
             section = header["section"]
--- a/kingcuptrack/protocol/bodies.py
+++ b/kingcuptrack/protocol/bodies.py
@@ -1,11 +1,13 @@
 """JSON bodies of the caller and operator interfaces."""
 
 import json
+import unicodedata
 
 import attrs
 
 from ..findings import Finding, Place
 from ..state.jobs import GANG_TASKS_LIMIT_COUNT, JobSpec, Phase
+from ..state.plans import NAME_LIMIT_COUNT
 from .codecs import json_converter, strict_json_converter, structure_findings
 
 PAYLOAD_LIMIT_BYTES = 256 * 1024
@@ -89,10 +91,17 @@
     if findings:
         return None, findings
     try:
-        return strict_json_converter.structure(data, ListsBody), []
+        lists = strict_json_converter.structure(data, ListsBody)
     except Exception as error:  # cattrs raises exception groups of many types
         return None, structure_findings(error, source="body")
 
+    findings = [
+        Finding(place=Place(file="body", key=key), message=_NOT_UNICODE)
+        for key in ("organisations", "plans")
+        if not _is_unicode(getattr(lists, key))
+    ]
+    return (None if findings else lists), findings
+
 
 def encode_findings(findings):
     """Return findings as JSON objects."""
@@ -113,8 +122,15 @@
 
 def _decode_object(body):
     try:
-        data = json.loads(body)
-    except (ValueError, RecursionError) as error:
+        text = body.decode() if isinstance(body, bytes) else body
+        data = json.loads(text, object_pairs_hook=_make_object)
+    except UnicodeDecodeError as error:
+        message = f"not UTF-8: {error.reason} at byte {error.start}"
+        return None, [Finding(place=Place(file="body"), message=message)]
+    except RecursionError:
+        message = "not valid JSON: nested too deeply"
+        return None, [Finding(place=Place(file="body"), message=message)]
+    except ValueError as error:
         place = Place(file="body", line=getattr(error, "lineno", 0))
         return None, [Finding(place=place, message=f"not valid JSON: {error}")]
     if not isinstance(data, dict):
@@ -123,6 +139,31 @@
     return data, []
 
 
+def _make_object(pairs):
+    values = dict(pairs)
+    if len(values) < len(pairs):
+        keys = [key for key, _ in pairs]
+        repeated = sorted({key for key in keys if keys.count(key) > 1})
+        raise ValueError(f"repeated keys {repeated}")
+    return values
+
+
+_NOT_UNICODE = "contains an unpaired surrogate, which is no character"
+
+
+def _is_unicode(text):
+    """Whether a text can be encoded; JSON escapes can hold half a character."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
+def _has_control(text):
+    return any(unicodedata.category(character) == "Cc" for character in text)
+
+
 def _check_spec(spec: JobSpec):
     findings = []
 
@@ -137,10 +178,20 @@
     shape = spec.shape
     limit = GANG_TASKS_LIMIT_COUNT
     require(spec.organisation, "organisation", "must not be empty")
+    for key in ("organisation", "idempotency_key", "payload"):
+        require(_is_unicode(getattr(spec, key)), key, _NOT_UNICODE)
+    for key in ("organisation", "idempotency_key"):
+        message = "must not contain control characters"
+        require(not _has_control(getattr(spec, key)), key, message)
+    require(
+        len(spec.organisation) <= NAME_LIMIT_COUNT,
+        "organisation",
+        f"at most {NAME_LIMIT_COUNT} characters",
+    )
     require(is_within(spec.tasks_count, 1, limit), "tasks_count", f"1 to {limit}")
     for key in ("accelerators_count", "cores_count", "memory_bytes"):
         value = getattr(shape, key)
-        require(is_within(value, 0, 2**50), f"shape.{key}", "must not be negative")
+        require(is_within(value, 0, 2**50), f"shape.{key}", f"0 to {2**50}")
     require(
         is_within(shape.connections_count, 0, 10_000),
         "shape.connections_count",
--- a/kingcuptrack/state/plans.py
+++ b/kingcuptrack/state/plans.py
@@ -10,6 +10,9 @@
 ORGANISATIONS_FILE = "organisations.ini"
 PLANS_FILE = "plans.ini"
 
+# Names appear in log lines, metrics and tables.
+NAME_LIMIT_COUNT = 64
+
 
 @attrs.frozen(kw_only=True)
 class Plan:
@@ -182,7 +185,16 @@
 def _section_name(section, kind, *, file):
     prefix, _, name = section.name.partition(" ")
     name = name.strip()
-    if prefix == kind and name:
+    message = ""
+    if prefix != kind or not name:
+        message = f"expected [{kind} NAME]"
+    elif len(name) > NAME_LIMIT_COUNT:
+        message = f"the name is longer than {NAME_LIMIT_COUNT} characters"
+    elif not name.isprintable():
+        message = "the name contains control or other unprintable characters"
+    if not message:
         return name, None
-    place = Place(file=file, section=section.name, line=section.line)
-    return "", Finding(place=place, message=f"expected [{kind} NAME]")
+    # The name may be the problem, so that the finding shows a part of it, escaped.
+    shown_name = ascii(section.name[: NAME_LIMIT_COUNT + len(kind) + 1])[1:-1]
+    place = Place(file=file, section=shown_name, line=section.line)
+    return "", Finding(place=place, message=message)
