--- /dev/null
+++ b/kingcuptrack/tools/client.py
@@ -0,0 +1,194 @@
+"""Requests of the command-line clients to entry instances, with fallback."""
+
+import os
+import sys
+from urllib.parse import urlsplit
+
+import anyio
+import attrs
+
+from ..outcomes import Done, Refused, Unknown
+from ..transport.http_client import HttpClient
+
+URLS_VARIABLE = "KINGCUPTRACK_ENTRY_URLS"
+URL_FLAG = "--entry-url"
+CONNECTIONS_COUNT = 4
+
+# Outcomes of a 503 that state that this instance changed nothing.
+_NOTHING_DONE = ("not_run", "not_recorded")
+
+
+class UsageError(Exception):
+    """Bad input that is found before any request is sent."""
+
+
+@attrs.frozen(kw_only=True)
+class Answer:
+    """Status and JSON object of a response.
+
+    ``is_after_unknown`` is true if an earlier try of the same request may have
+    taken effect at another instance.
+    """
+
+    status: int
+    body: dict
+    entry_url: str
+    is_after_unknown: bool = False
+
+
+class EntryClient:
+    """Sends each request to the first entry URL that answers it."""
+
+    def __init__(self, urls):
+        self._urls = check_urls(urls)
+        self._http_client = HttpClient(connections_count=CONNECTIONS_COUNT)
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *error):
+        await self._http_client.close()
+
+    async def request(
+        self, method, path, *, timeout_seconds, body=None, may_repeat=True
+    ):
+        """Send a request, trying the next URL where that is safe.
+
+        It is safe if the request was not sent, if the instance states that it
+        changed nothing, or if the interface makes a repetition harmless
+        (``may_repeat``).
+
+        Returns
+        -------
+        Done, Refused or Unknown
+            Done holds an `Answer`. Refused with code ``unreachable`` if nothing was
+            sent to any instance.
+        """
+        unknown = None
+        answer = None
+        failures = []
+        for url in self._urls:
+            outcome = await self._request_once(
+                method, url, path, timeout_seconds=timeout_seconds, body=body
+            )
+            if isinstance(outcome, Refused):
+                failures.append(outcome.message)
+                continue
+            if isinstance(outcome, Unknown):
+                unknown = outcome
+                if not may_repeat:
+                    break
+                continue
+            answer = outcome.value
+            if answer.status != 503:
+                self._prefer(url)
+                break
+            if method != "GET" and answer.body.get("outcome") not in _NOTHING_DONE:
+                unknown = Unknown(message=_reason_of(answer))
+                if not may_repeat:
+                    break
+        if answer is not None and (answer.status != 503 or unknown is None):
+            return Done(
+                value=attrs.evolve(answer, is_after_unknown=unknown is not None)
+            )
+        if unknown is not None:
+            return unknown
+        return Refused(code="unreachable", message="; ".join(failures))
+
+    async def _request_once(self, method, url, path, *, timeout_seconds, body):
+        outcome = await self._http_client.request(
+            method, url + path, timeout_seconds=timeout_seconds, body=body
+        )
+        if not isinstance(outcome, Done):
+            return outcome
+        response = outcome.value
+        try:
+            decoded = response.json()
+        except ValueError:
+            decoded = None
+        if not isinstance(decoded, dict):
+            return Unknown(message=f"{url}: status {response.status} without JSON")
+        answer = Answer(status=response.status, body=decoded, entry_url=url)
+        if response.status >= 500 and response.status != 503:
+            return Unknown(message=f"{url}: {_reason_of(answer)}")
+        return Done(value=answer)
+
+    def _prefer(self, url):
+        """Try the instance that answered first from now on."""
+        self._urls.remove(url)
+        self._urls.insert(0, url)
+
+
+def check_urls(urls):
+    """Return the entry URLs without trailing slashes; raises `UsageError`."""
+    urls = list(urls) or os.environ.get(URLS_VARIABLE, "").split()
+    if not urls:
+        raise UsageError(f"no entry URL: use {URL_FLAG} or set {URLS_VARIABLE}")
+    for url in urls:
+        try:
+            parts = urlsplit(url)
+            is_valid = parts.scheme == "http" and parts.hostname and parts.port != 0
+        except ValueError:
+            is_valid = False
+        if not is_valid or parts.query or not url.isascii() or " " in url:
+            raise UsageError(f"{url!r} is not an http:// URL of an entry instance")
+    return list(dict.fromkeys(url.rstrip("/") for url in urls))
+
+
+def gather_urls(arguments):
+    """Return command-line arguments with all entry URLs behind one flag at the end.
+
+    The parser keeps only the last of several equal flags, and a flag that takes many
+    values would take positional arguments behind it as well.
+    """
+    rest, urls = [], []
+    remaining = list(arguments)
+    while remaining:
+        argument = remaining.pop(0)
+        if argument.startswith(f"{URL_FLAG}="):
+            urls.append(argument.partition("=")[2])
+        elif argument == URL_FLAG and remaining:
+            urls.append(remaining.pop(0))
+            while remaining and remaining[0].startswith("http://"):
+                urls.append(remaining.pop(0))
+        else:
+            rest.append(argument)
+    return [*rest, URL_FLAG, *urls] if urls else rest
+
+
+def run_command(command, entry_urls):
+    """Run an async command with an `EntryClient`; return its exit code."""
+
+    async def run():
+        async with EntryClient(entry_urls) as client:
+            return await command(client)
+
+    try:
+        return anyio.run(run, backend="asyncio")
+    except UsageError as error:
+        print(f"error: {error}", file=sys.stderr)
+        return 2
+    except KeyboardInterrupt:
+        print("interrupted; the outcome is not known", file=sys.stderr)
+        return 4
+
+
+def describe_findings(findings):
+    """Return findings of a JSON answer as lines of text."""
+    lines = []
+    for finding in findings:
+        place = finding.get("file") or "input"
+        if finding.get("line"):
+            place += f":{finding['line']}"
+        if finding.get("section"):
+            place += f" [{finding['section']}]"
+        if finding.get("key"):
+            place += f" {finding['key']}"
+        level = "warning" if finding.get("is_warning") else "error"
+        lines.append(f"{place}: {level}: {finding.get('message', '')}")
+    return lines
+
+
+def _reason_of(answer):
+    reason = answer.body.get("reason") or f"status {answer.status}"
+    return f"{reason} ({answer.body.get('outcome', 'no outcome')})"
--- /dev/null
+++ b/kingcuptrack/tools/operator.py
@@ -0,0 +1,699 @@
+"""``kingcuptrack-operator``: the two lists, data centres in and out, and status.
+
+Exit codes: 0 done; 1 refused, not recorded or not in force; 2 bad usage or findings;
+3 conflict with a concurrent change; 4 outcome unknown or no instance reachable.
+"""
+
+import difflib
+import json as json_module
+import sys
+import time
+from pathlib import Path
+from urllib.parse import quote
+
+import anyio
+import defopt
+
+from ..outcomes import Done, Refused
+from ..state.plans import ORGANISATIONS_FILE, PLANS_FILE
+from .client import (
+    UsageError,
+    describe_findings,
+    gather_urls,
+    run_command,
+)
+from .tables import format_table
+
+EXIT_DONE = 0
+EXIT_REFUSED = 1
+EXIT_FINDINGS = 2
+EXIT_CONFLICT = 3
+EXIT_UNKNOWN = 4
+
+REQUEST_TIMEOUT_SECONDS = 10.0
+POLL_INTERVAL_SECONDS = 0.2
+
+
+def show_lists(*, entry_url: list[str] = [], json: bool = False):  # noqa: B006
+    """Show both lists as the answering instance has them in force.
+
+    :param entry_url: URL of an entry instance; several are tried in order
+    :param json: print JSON
+    """
+
+    async def command(client):
+        answer = await read_configuration(client)
+        if isinstance(answer, int):
+            return answer
+        if json:
+            return print_json(answer)
+        print(f"# version {answer['version']}")
+        for name, key in _LISTS:
+            print(f"# {name}")
+            print(answer[key].rstrip("\n"))
+        return EXIT_DONE
+
+    return run_command(command, entry_url)
+
+
+def check_lists(
+    organisations: Path,
+    plans: Path,
+    *,
+    entry_url: list[str] = [],  # noqa: B006
+    json: bool = False,
+):
+    """Check two lists and report all findings without recording anything.
+
+    :param organisations: file with the list of organisations
+    :param plans: file with the list of plans
+    :param entry_url: URL of an entry instance; several are tried in order
+    :param json: print JSON
+    """
+
+    async def command(client):
+        lists = read_lists(organisations, plans)
+        findings = await request_check(client, lists)
+        if isinstance(findings, int):
+            return findings
+        if json:
+            print_json({"findings": findings})
+        else:
+            print_findings(findings)
+            print("the lists have errors" if has_errors(findings) else "no errors")
+        return EXIT_FINDINGS if has_errors(findings) else EXIT_DONE
+
+    return run_command(command, entry_url)
+
+
+def apply_lists(
+    organisations: Path,
+    plans: Path,
+    *,
+    yes: bool = False,
+    timeout_seconds: float = 5.0,
+    entry_url: list[str] = [],  # noqa: B006
+    json: bool = False,
+):
+    """Show the difference to the lists in force, then record the new ones.
+
+    :param organisations: file with the list of organisations
+    :param plans: file with the list of plans
+    :param yes: record without asking
+    :param timeout_seconds: time to wait until the version is in force
+    :param entry_url: URL of an entry instance; several are tried in order
+    :param json: print JSON
+    """
+
+    async def command(client):
+        lists = read_lists(organisations, plans)
+        current = await read_configuration(client)
+        if isinstance(current, int):
+            return current
+        findings = await request_check(client, lists)
+        if isinstance(findings, int):
+            return findings
+        print_findings(findings, file=sys.stderr)
+        if has_errors(findings):
+            print("the lists have errors; nothing was recorded", file=sys.stderr)
+            if json:
+                print_json({"outcome": "not_recorded", "findings": findings})
+            return EXIT_FINDINGS
+        version = current["version"]
+        difference = difference_of(current, lists, f"version {version}", "new")
+        if not difference and version:
+            if json:
+                return print_json({"outcome": "unchanged", "version": version})
+            print(f"no difference to version {version}; nothing to record")
+            return EXIT_DONE
+        print(difference, file=sys.stderr if json else sys.stdout)
+        if not yes and not is_confirmed(f"record this after version {version}?"):
+            print("not confirmed; nothing was recorded", file=sys.stderr)
+            return EXIT_REFUSED
+        return await record_lists(
+            client,
+            lists,
+            current,
+            json=json,
+            timeout_seconds=timeout_seconds,
+        )
+
+    return run_command(command, entry_url)
+
+
+def take_out(
+    name: str,
+    *,
+    entry_url: list[str] = [],  # noqa: B006
+    json: bool = False,
+):
+    """Take a data centre out of service at once, with or without the table.
+
+    :param name: data centre
+    :param entry_url: URL of an entry instance; several are tried in order
+    :param json: print JSON
+    """
+
+    async def command(client):
+        # A repeated order takes the same data centre out again, which is harmless.
+        outcome = await client.request(
+            "POST",
+            f"/v1/data-centres/{quote(name, safe='')}/out",
+            timeout_seconds=REQUEST_TIMEOUT_SECONDS,
+        )
+        if not isinstance(outcome, Done):
+            return report_failure(outcome, f"taking out {name}", json=json)
+        answer = outcome.value
+        if json:
+            print_json(answer.body)
+        elif answer.status in (200, 202):
+            print(describe_take_out(name, answer.body))
+        else:
+            print_refusal(answer.body)
+        return change_exit_code(answer)
+
+    return run_command(command, entry_url)
+
+
+def bring_back(
+    name: str,
+    *,
+    timeout_seconds: float = 5.0,
+    entry_url: list[str] = [],  # noqa: B006
+    json: bool = False,
+):
+    """Bring a data centre back into service; needs the table.
+
+    :param name: data centre
+    :param timeout_seconds: time to wait until the version is in force
+    :param entry_url: URL of an entry instance; several are tried in order
+    :param json: print JSON
+    """
+
+    async def command(client):
+        # Not repeated after a lost answer: it could undo a take-out made meanwhile.
+        outcome = await client.request(
+            "POST",
+            f"/v1/data-centres/{quote(name, safe='')}/in",
+            timeout_seconds=REQUEST_TIMEOUT_SECONDS,
+            may_repeat=False,
+        )
+        if not isinstance(outcome, Done):
+            return report_failure(outcome, f"bringing back {name}", json=json)
+        answer = outcome.value
+        if answer.status == 200:
+            title = f"{name} returns to service: "
+            return await report_recorded(
+                client, answer.body, title, json=json, timeout_seconds=timeout_seconds
+            )
+        if json:
+            print_json(answer.body)
+        else:
+            print_refusal(answer.body)
+        return change_exit_code(answer)
+
+    return run_command(command, entry_url)
+
+
+def show_status(*, entry_url: list[str] = [], json: bool = False):  # noqa: B006
+    """Show data centres, organisations and the version in force at each instance.
+
+    :param entry_url: URL of an entry instance; several are tried in order
+    :param json: print JSON
+    """
+
+    async def command(client):
+        answer = await read_answer(client, "/v1/status")
+        if isinstance(answer, int):
+            return answer
+        if json:
+            return print_json(answer)
+        print(f"configuration version {answer['version']}\n")
+        print_data_centres(answer["data_centres"])
+        print()
+        print_organisations(answer)
+        print()
+        print_in_force(answer["in_force"], answer["version"])
+        return EXIT_DONE
+
+    return run_command(command, entry_url)
+
+
+def show_workers(
+    *,
+    data_centre: str = "",
+    entry_url: list[str] = [],  # noqa: B006
+    json: bool = False,
+):
+    """Show the workers of all data centres or of one.
+
+    :param data_centre: only this data centre
+    :param entry_url: URL of an entry instance; several are tried in order
+    :param json: print JSON
+    """
+
+    async def command(client):
+        answer = await read_answer(client, "/v1/status")
+        if isinstance(answer, int):
+            return answer
+        shown = [
+            row
+            for row in answer["data_centres"]
+            if data_centre in ("", row["data_centre"])
+        ]
+        if not shown:
+            print(f"unknown data centre {data_centre!r}", file=sys.stderr)
+            return EXIT_FINDINGS
+        if json:
+            return print_json({"data_centres": shown})
+        print_workers(shown)
+        return EXIT_DONE
+
+    return run_command(command, entry_url)
+
+
+def show_jobs(
+    *,
+    organisation: str = "",
+    entry_url: list[str] = [],  # noqa: B006
+    json: bool = False,
+):
+    """Show all open jobs and why those that wait do so.
+
+    :param organisation: only jobs of this organisation
+    :param entry_url: URL of an entry instance; several are tried in order
+    :param json: print JSON
+    """
+
+    async def command(client):
+        answer = await read_answer(client, "/v1/status/jobs")
+        if isinstance(answer, int):
+            return answer
+        jobs = [
+            job for job in answer["jobs"] if organisation in ("", job["organisation"])
+        ]
+        if json:
+            return print_json({**answer, "jobs": jobs})
+        print_jobs(jobs)
+        print_unanswered(answer["unanswered_data_centres"])
+        return EXIT_DONE
+
+    return run_command(command, entry_url)
+
+
+def wait_in_force(
+    version: int,
+    *,
+    timeout_seconds: float = 10.0,
+    entry_url: list[str] = [],  # noqa: B006
+    json: bool = False,
+):
+    """Wait until a version, or a later one, is in force at every instance.
+
+    :param version: version of the configuration
+    :param timeout_seconds: longest wait
+    :param entry_url: URL of an entry instance; several are tried in order
+    :param json: print JSON
+    """
+
+    async def command(client):
+        rows = await poll_in_force(client, version, timeout_seconds=timeout_seconds)
+        if isinstance(rows, int):
+            return rows
+        everywhere = is_in_force(rows, version)
+        if json:
+            print_json(
+                {"version": version, "is_in_force": everywhere, "in_force": rows}
+            )
+        else:
+            print_in_force(rows, version)
+        return EXIT_DONE if everywhere else EXIT_REFUSED
+
+    return run_command(command, entry_url)
+
+
+_LISTS = ((ORGANISATIONS_FILE, "organisations"), (PLANS_FILE, "plans"))
+
+
+def read_lists(organisations, plans):
+    """Return the texts of both files; raises `UsageError` naming all bad ones."""
+    texts, problems = {}, []
+    for (_, key), path in zip(_LISTS, (organisations, plans), strict=True):
+        try:
+            texts[key] = path.read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as error:
+            problems.append(f"{path} cannot be read: {error}")
+    if problems:
+        raise UsageError("; ".join(problems))
+    return texts
+
+
+async def read_answer(client, path):
+    """Return the JSON object at a path, or the exit code after a failure."""
+    outcome = await client.request("GET", path, timeout_seconds=REQUEST_TIMEOUT_SECONDS)
+    if not isinstance(outcome, Done):
+        return report_failure(outcome, f"reading {path}", json=False)
+    if outcome.value.status != 200:
+        print_refusal(outcome.value.body)
+        return EXIT_UNKNOWN
+    return outcome.value.body
+
+
+async def read_configuration(client):
+    """Return the configuration in force, or the exit code after a failure."""
+    return await read_answer(client, "/v1/configuration")
+
+
+async def request_check(client, lists):
+    """Return the findings of both lists, or the exit code after a failure."""
+    outcome = await client.request(
+        "POST",
+        "/v1/configuration/check",
+        body={**lists, "expected_version": 0},
+        timeout_seconds=REQUEST_TIMEOUT_SECONDS,
+    )
+    if not isinstance(outcome, Done):
+        return report_failure(outcome, "checking the lists", json=False)
+    if "findings" not in outcome.value.body:
+        print_refusal(outcome.value.body)
+        return EXIT_UNKNOWN
+    return outcome.value.body["findings"]
+
+
+async def record_lists(client, lists, current, *, json, timeout_seconds):
+    """Send both lists with the expected version; return the exit code."""
+    expected_version = current["version"]
+    outcome = await client.request(
+        "PUT",
+        "/v1/configuration",
+        body={**lists, "expected_version": expected_version},
+        timeout_seconds=REQUEST_TIMEOUT_SECONDS,
+    )
+    if not isinstance(outcome, Done):
+        return report_failure(outcome, "recording the lists", json=json)
+    answer = outcome.value
+    body = answer.body
+    if answer.status == 409 and answer.is_after_unknown and is_same(body, lists):
+        # The try whose answer was lost has recorded these lists.
+        body = {**body, "outcome": "recorded"}
+        del body["code"], body["reason"]
+    if body.get("outcome") == "recorded":
+        return await report_recorded(
+            client, body, json=json, timeout_seconds=timeout_seconds
+        )
+    if json:
+        print_json(body)
+    elif answer.status == 409:
+        print_conflict(body, lists, current)
+    else:
+        print_refusal(body)
+    return change_exit_code(answer)
+
+
+async def report_recorded(client, body, title="", *, json, timeout_seconds):
+    """Report a recorded change, and where it is in force; return the exit code."""
+    version = body["version"]
+    rows = await poll_in_force(client, version, timeout_seconds=timeout_seconds)
+    if isinstance(rows, int):
+        rows = body.get("in_force", [])
+    if json:
+        return print_json({**body, "in_force": rows})
+    print(f"{title}recorded as version {version}")
+    print_in_force(rows, version)
+    return EXIT_DONE
+
+
+async def poll_in_force(client, version, *, timeout_seconds):
+    """Return the newest rows of versions in force, or an exit code."""
+    deadline_seconds = time.monotonic() + timeout_seconds
+    while True:
+        answer = await read_configuration(client)
+        if isinstance(answer, int):
+            return answer
+        rows = answer["in_force"]
+        if is_in_force(rows, version) or time.monotonic() >= deadline_seconds:
+            return rows
+        await anyio.sleep(POLL_INTERVAL_SECONDS)
+
+
+def is_in_force(rows, version):
+    """Whether every instance that serves has acknowledged the version."""
+    serving = [row for row in rows if not (row["is_leaving"] and row["silent_seconds"])]
+    return bool(serving) and all(row["version"] >= version for row in serving)
+
+
+def is_same(body, lists):
+    """Whether an answer holds exactly these lists."""
+    return all(body.get(key) == lists[key] for _, key in _LISTS)
+
+
+def difference_of(old, new, old_name, new_name):
+    """Return the unified difference of two pairs of lists."""
+    lines = []
+    for name, key in _LISTS:
+        lines += difflib.unified_diff(
+            old[key].splitlines(),
+            new[key].splitlines(),
+            f"{name} ({old_name})",
+            f"{name} ({new_name})",
+            lineterm="",
+        )
+    if not lines and any(old[key] != new[key] for _, key in _LISTS):
+        return "the lists differ in line ends only"
+    return "\n".join(lines)
+
+
+def is_confirmed(question):
+    """Ask on standard error; no answer means no."""
+    print(f"{question} [y/N] ", end="", file=sys.stderr, flush=True)
+    return sys.stdin.readline().strip().lower() in ("y", "yes")
+
+
+def change_exit_code(answer):
+    """Return the exit code for the answer to a change."""
+    if answer.body.get("outcome") == "recorded":
+        return EXIT_DONE
+    if answer.status == 409:
+        return EXIT_CONFLICT
+    if answer.status in (404, 413, 422):
+        return EXIT_FINDINGS
+    if answer.body.get("outcome") == "unknown":
+        return EXIT_UNKNOWN
+    return EXIT_REFUSED
+
+
+def report_failure(outcome, what, *, json):
+    """Report a request without an answer; return the exit code."""
+    if isinstance(outcome, Refused):
+        text = f"{what}: no entry instance could be reached; nothing was changed"
+        body = {"outcome": "not_recorded", "code": outcome.code}
+    else:
+        text = f"{what}: no answer; it is not known whether it took effect"
+        body = {"outcome": "unknown"}
+    print(f"{text} ({outcome.message})", file=sys.stderr)
+    if json:
+        print_json({**body, "reason": outcome.message})
+    return EXIT_UNKNOWN
+
+
+def has_errors(findings):
+    """Whether any finding of a JSON answer is an error."""
+    return any(not finding["is_warning"] for finding in findings)
+
+
+def print_json(value):
+    """Print a value as JSON; return the exit code for success."""
+    print(json_module.dumps(value, indent=2, ensure_ascii=False))
+    return EXIT_DONE
+
+
+def print_findings(findings, *, file=None):
+    """Print findings, one a line."""
+    for line in describe_findings(findings):
+        print(line, file=file)
+
+
+def print_refusal(body):
+    """Print why a request was refused."""
+    print_findings(body.get("findings", []), file=sys.stderr)
+    outcome = body.get("outcome", "refused").replace("_", " ")
+    reason = body.get("reason") or body.get("code") or "see the findings"
+    print(f"{outcome}: {reason}", file=sys.stderr)
+
+
+def print_conflict(body, lists, current):
+    """Print what a concurrent change did and how it differs from these lists."""
+    version = body.get("version")
+    print(f"conflict: {body.get('reason')}; nothing was recorded", file=sys.stderr)
+    if version is None:
+        return
+    old_name = f"version {current['version']}"
+    new_name = f"version {version}"
+    print(f"changed by others from {old_name} to {new_name}:")
+    print(difference_of(current, body, old_name, new_name) or "  the lists are equal")
+    print(f"difference of your lists to {new_name}:")
+    print(difference_of(body, lists, new_name, "yours") or "  none")
+
+
+def describe_take_out(name, body):
+    """Return the answer to a take-out as text."""
+    if body["outcome"] == "recorded":
+        lines = [f"{name} is out of service: recorded as version {body['version']}"]
+    else:
+        lines = [
+            f"{name}: take-out notice {body['notice_id']} sent but NOT RECORDED yet:"
+            f" {body.get('reason', '')}",
+            "the instances that have heard of it record it once the table answers",
+        ]
+    confirmed = ", ".join(body["confirmed_by"]) or "no instance"
+    if body["is_in_force"]:
+        lines.append(f"in force in {name}: confirmed by {confirmed}")
+    else:
+        missing = ", ".join(body["unconfirmed"]) or "no instance is known there"
+        lines.append(f"NOT known to be in force in {name}: confirmed by {confirmed}")
+        lines.append(f"not confirmed by: {missing}")
+    return "\n".join(lines)
+
+
+def print_in_force(rows, version):
+    """Print at which instances a version is in force."""
+    table = [
+        (
+            row["instance_id"],
+            row["data_centre"],
+            row["version"],
+            row["version"] >= version,
+            _instance_state(row),
+        )
+        for row in rows
+    ]
+    headers = ("instance", "data centre", "version", f"{version} in force", "state")
+    print(format_table(headers, table))
+    if not is_in_force(rows, version):
+        print(f"version {version} is not in force everywhere")
+
+
+def _instance_state(row):
+    state = "leaving" if row["is_leaving"] else "live"
+    if row["silent_seconds"] is None:
+        return f"{state}, never heard"
+    if row["silent_seconds"]:
+        return f"{state}, silent for {row['silent_seconds']:g} s"
+    return state
+
+
+def print_data_centres(data_centres):
+    """Print one line for each data centre."""
+    rows = []
+    for item in data_centres:
+        workers = item["workers"]
+        totals = (None, None, None)
+        if workers is not None:
+            totals = (
+                len(workers),
+                sum(worker["accelerators_count"] for worker in workers),
+                sum(worker["free_accelerators_count"] for worker in workers),
+            )
+        placer = item["placer_id"] if item["is_answering"] else "no answer"
+        service = "in" if item["is_in_service"] else "OUT"
+        rows.append((item["data_centre"], service, placer, *totals, item["jobs_count"]))
+    headers = (
+        "data centre", "service", "placer", "workers", "accelerators", "free", "jobs",
+    )  # fmt: skip
+    print(format_table(headers, rows))
+
+
+def print_organisations(answer):
+    """Print plan and use of each organisation, in accelerators."""
+    rows = [
+        (
+            item["organisation"],
+            item["plan"] or "none",
+            item["guaranteed_accelerators_count"],
+            item["quota_accelerators_count"],
+            item["in_use_guaranteed_accelerators_count"],
+            item["in_use_borrowed_accelerators_count"],
+            item["waiting_accelerators_count"],
+            item["running_jobs_count"],
+            item["waiting_jobs_count"],
+        )
+        for item in answer["organisations"]
+    ]
+    headers = (
+        "organisation", "plan", "guarantee", "quota", "guaranteed", "borrowed",
+        "waiting", "jobs running", "jobs waiting",
+    )  # fmt: skip
+    print(format_table(headers, rows))
+    print_unanswered(answer["unanswered_data_centres"])
+
+
+def print_unanswered(names):
+    """Print which data centres the figures above leave out."""
+    if names:
+        print(f"not included, no answer: {', '.join(names)}")
+
+
+def print_workers(data_centres):
+    """Print one line for each worker."""
+    rows = [
+        (
+            worker["worker_id"],
+            item["data_centre"],
+            worker["rack"],
+            "leaving" if worker["is_leaving"] else worker["health"] or "live",
+            worker["accelerators_count"],
+            worker["free_accelerators_count"],
+            worker["tasks_count"],
+        )
+        for item in data_centres
+        for worker in item["workers"] or ()
+    ]
+    headers = (
+        "worker", "data centre", "rack", "state", "accelerators", "free", "tasks",
+    )  # fmt: skip
+    print(format_table(headers, rows))
+    print_unanswered(
+        [item["data_centre"] for item in data_centres if not item["is_answering"]]
+    )
+
+
+def print_jobs(jobs):
+    """Print one line for each open job."""
+    rows = [
+        (
+            job["job_id"],
+            job["organisation"],
+            job["data_centre"],
+            job["urgency"],
+            job["status"],
+            job["attempt"],
+            job["tasks_count"],
+            job["accelerators_count"],
+            job["reason"],
+        )
+        for job in jobs
+    ]
+    headers = (
+        "job", "organisation", "data centre", "urgency", "status", "attempt", "tasks",
+        "accelerators", "reason",
+    )  # fmt: skip
+    print(format_table(headers, rows))
+
+
+COMMANDS = {
+    "lists": {"show": show_lists, "check": check_lists, "apply": apply_lists},
+    "data-centre": {"out": take_out, "in": bring_back},
+    "status": show_status,
+    "workers": show_workers,
+    "jobs": show_jobs,
+    "wait-in-force": wait_in_force,
+}
+
+
+def main():
+    """Entry point."""
+    sys.exit(defopt.run(COMMANDS, argv=gather_urls(sys.argv[1:]), short={}))
+
+
+if __name__ == "__main__":
+    main()
