--- a/kingcuptrack/protocol/bodies.py
+++ b/kingcuptrack/protocol/bodies.py
@@ -200,7 +200,7 @@
     require(
         is_within(spec.declared_run_seconds, 0.0, DECLARED_RUN_LIMIT_SECONDS),
         "declared_run_seconds",
-        f"0 to {DECLARED_RUN_LIMIT_SECONDS:g}",
+        f"0 to {DECLARED_RUN_LIMIT_SECONDS:.0f}",
     )
     require(
         len(spec.payload.encode(errors="replace")) <= PAYLOAD_LIMIT_BYTES,
--- a/kingcuptrack/protocol/codecs.py
+++ b/kingcuptrack/protocol/codecs.py
@@ -2,10 +2,12 @@
 
 from enum import StrEnum
 
+import attrs
 import cbor2
 from cattrs import transform_error
 from cattrs.preconf.cbor2 import make_converter as make_cbor_converter
 from cattrs.preconf.json import make_converter as make_json_converter
+from cattrs.v import format_exception
 
 from ..findings import Finding, Place
 
@@ -21,6 +23,12 @@
     return structure
 
 
+def _structure_choice(value, kind):
+    if value not in list(kind):
+        raise TypeError(f"expected one of {', '.join(kind)}")
+    return kind(value)
+
+
 def _harden(converter):
     """Reject values that cattrs would otherwise convert silently."""
     converter.register_structure_hook(int, _strict((int,), "a whole number"))
@@ -28,7 +36,7 @@
     converter.register_structure_hook(str, _strict((str,), "a string"))
     converter.register_structure_hook(bool, _strict((bool,), "true or false"))
     # Hooks are found by class: without its own, a string enum would get that of str.
-    converter.register_structure_hook(StrEnum, lambda value, kind: kind(value))
+    converter.register_structure_hook(StrEnum, _structure_choice)
     return converter
 
 
@@ -40,13 +48,22 @@
 def structure_findings(error, *, source):
     """Return the findings of a cattrs structuring error."""
     findings = []
-    for text in transform_error(error, path=""):
+    for text in transform_error(error, path="", format_exception=_format_exception):
         message, _, path = text.rpartition(" @ ")
         place = Place(file=source, key=path.lstrip("."))
         findings.append(Finding(place=place, message=message or text))
     return findings
 
 
+def _format_exception(error, kind):
+    # The messages of the hooks above name no Python types.
+    if isinstance(error, TypeError) and str(error).startswith("expected "):
+        return str(error)
+    if isinstance(error, TypeError | AttributeError) and attrs.has(kind):
+        return "expected a JSON object"
+    return format_exception(error, kind)
+
+
 def encode_cbor(value):
     """Encode a typed object as CBOR bytes."""
     return cbor2.dumps(cbor_converter.unstructure(value))
--- a/kingcuptrack/tools/client.py
+++ b/kingcuptrack/tools/client.py
@@ -39,9 +39,11 @@
 class EntryClient:
     """Sends each request to the first entry URL that answers it."""
 
-    def __init__(self, urls):
+    def __init__(self, urls, *, http_client=None):
         self._urls = check_urls(urls)
-        self._http_client = HttpClient(connections_count=CONNECTIONS_COUNT)
+        self._http_client = http_client or HttpClient(
+            connections_count=CONNECTIONS_COUNT
+        )
 
     async def __aenter__(self):
         return self
