--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,96 @@
+"""Status for operators: use of organisations, instances and silent data centres."""
+
+from kingcuptrack.coordination.operators import (
+    describe_data_centre,
+    describe_organisations,
+)
+from kingcuptrack.protocol.messages import DataCentreDescription, JobDescription
+from kingcuptrack.state.plans import parse_lists
+
+from .cases import ORGANISATIONS, PLANS, apply_lists, wait_placers
+from .deployment import start_deployment
+from .support import check, function_tests
+
+load_tests = function_tests(__name__)
+
+
+def describe_job(organisation, status, *, is_guaranteed=False):
+    """Return a job of 16 accelerators."""
+    return JobDescription(
+        job_id="1",
+        organisation=organisation,
+        urgency="patient",
+        status=status,
+        attempt=1,
+        tasks_count=2,
+        accelerators_count=16,
+        is_guaranteed=is_guaranteed,
+    )
+
+
+def test_use_is_summed_over_data_centres_by_kind():
+    """Guards against waiting or borrowed work counted as guaranteed use."""
+    configuration, _ = parse_lists(ORGANISATIONS, PLANS)
+    descriptions = [
+        DataCentreDescription(data_centre=name, placer_id="a", jobs=jobs)
+        for name, jobs in (
+            (
+                "kumasi",
+                (
+                    describe_job("design", "running", is_guaranteed=True),
+                    describe_job("design", "starting"),
+                    describe_job("gone", "stopping"),
+                ),
+            ),
+            ("obuasi", (describe_job("design", "queued"),)),
+        )
+    ]
+    rows = {
+        row["organisation"]: row
+        for row in describe_organisations(configuration, descriptions)
+    }
+    design = rows["design"]
+    check.assertEqual(design["guaranteed_accelerators_count"], 48)
+    check.assertEqual(design["in_use_guaranteed_accelerators_count"], 16)
+    check.assertEqual(design["in_use_borrowed_accelerators_count"], 16)
+    check.assertEqual(design["waiting_accelerators_count"], 16)
+    check.assertEqual(rows["gone"]["plan"], "")
+    check.assertEqual(rows["sales"]["running_jobs_count"], 0)
+
+
+def test_data_centre_without_answer_is_not_empty():
+    """Guards against a silent data centre shown as one without workers and jobs."""
+    body = describe_data_centre("kumasi", None, True)
+    check.assertFalse(body["is_answering"])
+    check.assertIsNone(body["workers"])
+    check.assertIsNone(body["jobs_count"])
+
+
+def test_instances_that_did_not_confirm_are_named():
+    """Guards against a take-out called in force while an instance is silent."""
+    with start_deployment(
+        data_centres=("kumasi", "obuasi"), entries_count=1, workers_count=1
+    ) as deployment:
+        apply_lists(deployment)
+        wait_placers(deployment)
+        kumasi, obuasi = deployment.running_entries()
+        obuasi.process.pause()
+        status = deployment.wait(
+            lambda: find_unanswered(kumasi), "obuasi does not answer"
+        )
+        check.assertEqual(status["unanswered_data_centres"], ["obuasi"])
+        _, answer = kumasi.request("POST", "/v1/data-centres/obuasi/out")
+        check.assertEqual((answer["outcome"], answer["version"]), ("recorded", 2))
+        check.assertFalse(answer["is_in_force"])
+        check.assertEqual(answer["unconfirmed"], [obuasi.instance_id])
+        obuasi.process.resume()
+        deployment.wait(lambda: not find_unanswered(kumasi), "obuasi answers again")
+        _, answer = kumasi.request("POST", "/v1/data-centres/obuasi/out")
+        check.assertEqual(answer["version"], 3)
+        check.assertTrue(answer["is_in_force"], answer)
+
+
+def find_unanswered(entry):
+    """Return the status if any data centre does not answer."""
+    status = entry.request("GET", "/v1/status")[1]
+    return status if status["unanswered_data_centres"] else None
