Throttle, then fail jobs that use more than they declared

Cause: declared sizes are far off and usage was reported but not acted upon. Ruled out: counting reports in a row, since workers are polled every 50 ms at first and repeat one sample. Measured with usage 5 times the declared shape: throttled, then failed; a modest job beside it is untouched (tests/test_entry.py). Before: the job ran on at full speed.

--- a/kingcuptrack/coordination/attempts.py
+++ b/kingcuptrack/coordination/attempts.py
@@ -258,7 +258,7 @@
         or not job.may_have_run
         or (job.spec.is_checkpointable and is_checkpointed)
     )
-    if may_rerun and not job.is_cancelled:
+    if may_rerun and not job.is_cancelled and not run.is_job_at_fault:
         await _unclaim(context, job)
         return GangEnded(
             run=run, reason=run.stop_reason, failed_worker_ids=failed_worker_ids
@@ -267,6 +267,8 @@
         phase, reason = not_run_phase(job, Phase.CANCELLED), "cancelled"
     elif is_task_failed:
         phase, reason = Phase.FAILED, "a task reported an error"
+    elif run.is_job_at_fault:
+        phase, reason = Phase.FAILED, run.stop_reason
     else:
         phase, reason = Phase.UNKNOWN, run.stop_reason
     row = make_row(
--- a/kingcuptrack/coordination/gangs.py
+++ b/kingcuptrack/coordination/gangs.py
@@ -53,7 +53,9 @@
     is_started: bool = False
     started_seconds: float = 0.0
     stop_reason: str = ""
+    is_job_at_fault: bool = False
     is_checkpoint_wanted: bool = False
+    usage_records: dict = attrs.field(factory=dict)
     changed: anyio.Event = attrs.field(factory=anyio.Event)
 
     @property
@@ -87,10 +89,16 @@
         self.changed.set()
         self.changed = anyio.Event()
 
-    def request_stop(self, reason, *, is_checkpoint_wanted=False):
-        """Ask for the attempt to end; the first reason counts."""
+    def request_stop(
+        self, reason, *, is_checkpoint_wanted=False, is_job_at_fault=False
+    ):
+        """Ask for the attempt to end; the first reason counts.
+
+        A job at fault fails instead of being run again.
+        """
         if not self.stop_reason:
             self.stop_reason = reason
+            self.is_job_at_fault = is_job_at_fault
             self.is_checkpoint_wanted = is_checkpoint_wanted
             self.notify()
 
@@ -205,6 +213,10 @@
             isinstance(outcome, Done) for outcome in outcomes.values()
         )
 
+    async def throttle(self, run, worker_id):
+        """Slow the tasks of one member down; a lost request is repeated later."""
+        await self._workers.throttle(run.members[worker_id].address, run.key)
+
     async def stop(self, run):
         """Stop all members; return when each acknowledged or its lease lapsed."""
         remaining = dict(run.members)
--- a/kingcuptrack/coordination/watchers.py
+++ b/kingcuptrack/coordination/watchers.py
@@ -6,9 +6,11 @@
 import attrs
 from loguru import logger
 
+from ..logs import log_decision
 from ..outcomes import Done, Refused
 from ..state.scheduling import remove_worker, set_worker
 from ..state.shapes import Worker
+from ..state.usage import UsageRecord, UsageVerdict, find_excess, judge_usage
 
 # A gang is polled again after this part of its run time so far, so that the delay
 # between the end of a task and its answer stays in proportion to the run time.
@@ -148,11 +150,42 @@
                     run.members[worker_id], sent_seconds, outcome
                 )
             run.observe(worker_id, answer.incarnation, state, sent_seconds=sent_seconds)
+        await self._judge_usage(worker_id, runs, answer.usage)
         worker = self._known_workers.get(worker_id)
         if worker is not None and answer.is_leaving and not worker.is_leaving:
             self.observe_worker(attrs.evolve(worker, is_leaving=True))
         return True
 
+    async def _judge_usage(self, worker_id, runs, usage):
+        """Throttle or stop gangs that use more than their job declared."""
+        for used in usage.get("gangs", ()):
+            run = runs.get(used.get("job_id"))
+            if run is None or used.get("token") != run.key.token:
+                continue
+            tasks_count = len(run.members[worker_id].task_indices)
+            excess = find_excess(run.gang.job.spec.shape, tasks_count, used)
+            record = run.usage_records.get(worker_id, UsageRecord())
+            verdict, run.usage_records[worker_id] = judge_usage(
+                record, excess, now_seconds=time.monotonic()
+            )
+            if verdict == UsageVerdict.ACCEPT:
+                continue
+            log_decision(
+                "usage",
+                choice=str(verdict),
+                reason=f"{excess} above the declared shape",
+                job_id=run.job_id,
+                token=run.key.token,
+                worker_id=worker_id,
+            )
+            if verdict == UsageVerdict.THROTTLE:
+                await self._context.gang_calls.throttle(run, worker_id)
+            else:
+                run.request_stop(
+                    f"{excess} above the declared shape also when throttled",
+                    is_job_at_fault=True,
+                )
+
     async def _read_state(self, worker_id, address):
         outcome = await self._context.worker_client.read_state(address)
         if not isinstance(outcome, Done):
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -53,3 +53,28 @@
     check_answer(answer, body)
     check.assertEqual(answer["attempt"], 1)
     check.assertEqual(effects_of(deployment, job_id), {0: 1, 1: 1})
+
+
+def test_a_job_that_exceeds_its_shape_is_throttled_then_failed():
+    """Guards against a task that takes resources from its neighbours for good."""
+    settings = {"workers": {"renewal_interval_seconds": 0.5, "lease_seconds": 3}}
+    with start_deployment(
+        data_centres=("kumasi",), entries_count=1, settings=settings
+    ) as deployment:
+        apply_lists(deployment)
+        wait_placers(deployment)
+        entry = deployment.running_entries()[0]
+        greedy = make_job("greedy", run_seconds=60.0, payload={"usage_factor": 5.0})
+        modest = make_job("modest", run_seconds=4.0)
+        greedy_id = submit(entry, greedy)[1]["job_id"]
+        modest_id = submit(entry, modest)[1]["job_id"]
+        answer = wait_final(deployment, entry, greedy_id)
+        check.assertEqual(answer["outcome"], "failed", answer)
+        check.assertIn("above the declared shape", answer["reason"])
+        check_answer(wait_final(deployment, entry, modest_id), modest)
+        throttled = {
+            event["job_id"]
+            for event in deployment.worker_journal()
+            if event["event"] == "throttle"
+        }
+        check.assertEqual(throttled, {greedy_id})
