Show where a take-out is in force, and keep a demonstration running on request

Cause: a recorded take-out named the confirming instances of its data centre only, and there was no deployment to try commands on. The printing functions move to tools/reports.py.

--- a/emulator/demo.py
+++ b/emulator/demo.py
@@ -8,10 +8,13 @@
 import json
 import os
 import shlex
+import signal
 import subprocess
 import sys
 import time
 
+import defopt
+
 from kingcuptrack.tools.client import URLS_VARIABLE
 from tests.cases import wait_placers
 from tests.deployment import start_deployment
@@ -200,8 +203,30 @@
         require(exit_code == 0, f"{entry.instance_id} stopped gracefully")
 
 
-def main():
-    """Run the demonstration; return the exit code."""
+def stay_until_signal(deployment):
+    """Print how to reach the deployment, and keep it until SIGINT or SIGTERM."""
+    urls = " ".join(entry.url for entry in deployment.running_entries())
+    print(f'\nexport {URLS_VARIABLE}="{urls}"')
+    print("running until interrupted", flush=True)
+    signals = {signal.SIGINT, signal.SIGTERM}
+    # Blocked only now, since processes inherit the mask of the one starting them.
+    signal.pthread_sigmask(signal.SIG_BLOCK, signals)
+    signal.sigwait(signals)
+
+
+def run_all(deployment, entries):
+    """Run and check every part of the demonstration."""
+    run_client("operator", "status", entries=entries)
+    run_render(deployment, entries)
+    run_catalogue(deployment, entries[0], entries[1])
+    take_out_and_return(deployment, "obuasi", entries)
+
+
+def main(*, stay: bool = False):
+    """Run the demonstration; return the exit code.
+
+    :param stay: only record the lists, then keep the deployment until interrupted
+    """
     started_seconds = time.monotonic()
     try:
         with start_deployment(data_centres=DATA_CENTRES) as deployment:
@@ -209,10 +234,10 @@
             print(f"started {len(entries)} entry instances in {DATA_CENTRES}")
             apply_lists(entries)
             wait_placers(deployment)
-            run_client("operator", "status", entries=entries)
-            run_render(deployment, entries)
-            run_catalogue(deployment, entries[0], entries[1])
-            take_out_and_return(deployment, "obuasi", entries)
+            if stay:
+                stay_until_signal(deployment)
+            else:
+                run_all(deployment, entries)
             print()
             stop_entries(deployment)
     except (UnexpectedAnswerError, AssertionError, subprocess.TimeoutExpired) as error:
@@ -224,4 +249,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(defopt.run(main, short={}))
--- a/kingcuptrack/tools/caller.py
+++ b/kingcuptrack/tools/caller.py
@@ -10,6 +10,7 @@
 import sys
 import time
 import uuid
+from collections.abc import Sequence
 from pathlib import Path
 
 import anyio
@@ -64,7 +65,7 @@
     job_file: Path | None = None,
     wait_seconds: float = 0.0,
     retry_seconds: float = 10.0,
-    entry_url: list[str] = [],  # noqa: B006
+    entry_url: Sequence[str] = (),
     json: bool = False,
 ):
     """Submit a job, from a JSON file, from flags, or from a file changed by flags.
@@ -140,7 +141,7 @@
     job_id: str,
     *,
     timeout_seconds: float = 60.0,
-    entry_url: list[str] = [],  # noqa: B006
+    entry_url: Sequence[str] = (),
     json: bool = False,
 ):
     """Wait for the outcome of a job and check its results.
@@ -163,7 +164,7 @@
 def status(
     job_id: str,
     *,
-    entry_url: list[str] = [],  # noqa: B006
+    entry_url: Sequence[str] = (),
     json: bool = False,
 ):
     """Show what is known about a job now.
@@ -178,7 +179,7 @@
 def cancel(
     job_id: str,
     *,
-    entry_url: list[str] = [],  # noqa: B006
+    entry_url: Sequence[str] = (),
     json: bool = False,
 ):
     """Cancel a job; the answer tells whether it may have run.
--- a/kingcuptrack/tools/operator.py
+++ b/kingcuptrack/tools/operator.py
@@ -4,10 +4,9 @@
 3 conflict with a concurrent change; 4 outcome unknown or no instance reachable.
 """
 
-import difflib
-import json as json_module
 import sys
 import time
+from collections.abc import Sequence
 from pathlib import Path
 from urllib.parse import quote
 
@@ -15,14 +14,24 @@
 import defopt
 
 from ..outcomes import Done, Refused
-from ..state.plans import ORGANISATIONS_FILE, PLANS_FILE
-from .client import (
-    UsageError,
-    describe_findings,
-    gather_urls,
-    run_command,
+from .client import UsageError, gather_urls, run_command
+from .reports import (
+    LISTS,
+    describe_take_out,
+    difference_of,
+    has_errors,
+    is_in_force,
+    print_conflict,
+    print_data_centres,
+    print_findings,
+    print_in_force,
+    print_jobs,
+    print_json,
+    print_organisations,
+    print_refusal,
+    print_unanswered,
+    print_workers,
 )
-from .tables import format_table
 
 EXIT_DONE = 0
 EXIT_REFUSED = 1
@@ -34,7 +43,7 @@
 POLL_INTERVAL_SECONDS = 0.2
 
 
-def show_lists(*, entry_url: list[str] = [], json: bool = False):  # noqa: B006
+def show_lists(*, entry_url: Sequence[str] = (), json: bool = False):
     """Show both lists as the answering instance has them in force.
 
     :param entry_url: URL of an entry instance; several are tried in order
@@ -46,9 +55,10 @@
         if isinstance(answer, int):
             return answer
         if json:
-            return print_json(answer)
+            print_json(answer)
+            return EXIT_DONE
         print(f"# version {answer['version']}")
-        for name, key in _LISTS:
+        for name, key in LISTS:
             print(f"# {name}")
             print(answer[key].rstrip("\n"))
         return EXIT_DONE
@@ -60,7 +70,7 @@
     organisations: Path,
     plans: Path,
     *,
-    entry_url: list[str] = [],  # noqa: B006
+    entry_url: Sequence[str] = (),
     json: bool = False,
 ):
     """Check two lists and report all findings without recording anything.
@@ -92,7 +102,7 @@
     *,
     yes: bool = False,
     timeout_seconds: float = 5.0,
-    entry_url: list[str] = [],  # noqa: B006
+    entry_url: Sequence[str] = (),
     json: bool = False,
 ):
     """Show the difference to the lists in force, then record the new ones.
@@ -123,7 +133,8 @@
         difference = difference_of(current, lists, f"version {version}", "new")
         if not difference and version:
             if json:
-                return print_json({"outcome": "unchanged", "version": version})
+                print_json({"outcome": "unchanged", "version": version})
+                return EXIT_DONE
             print(f"no difference to version {version}; nothing to record")
             return EXIT_DONE
         print(difference, file=sys.stderr if json else sys.stdout)
@@ -144,12 +155,14 @@
 def take_out(
     name: str,
     *,
-    entry_url: list[str] = [],  # noqa: B006
+    timeout_seconds: float = 5.0,
+    entry_url: Sequence[str] = (),
     json: bool = False,
 ):
     """Take a data centre out of service at once, with or without the table.
 
     :param name: data centre
+    :param timeout_seconds: time to wait until the recorded version is in force
     :param entry_url: URL of an entry instance; several are tried in order
     :param json: print JSON
     """
@@ -164,11 +177,16 @@
         if not isinstance(outcome, Done):
             return report_failure(outcome, f"taking out {name}", json=json)
         answer = outcome.value
+        is_taken_out = answer.status in (200, 202)
+        if is_taken_out and not json:
+            print(describe_take_out(name, answer.body), flush=True)
+        if answer.body.get("outcome") == "recorded":
+            return await report_recorded(
+                client, answer.body, json=json, timeout_seconds=timeout_seconds
+            )
         if json:
             print_json(answer.body)
-        elif answer.status in (200, 202):
-            print(describe_take_out(name, answer.body))
-        else:
+        elif not is_taken_out:
             print_refusal(answer.body)
         return change_exit_code(answer)
 
@@ -179,7 +197,7 @@
     name: str,
     *,
     timeout_seconds: float = 5.0,
-    entry_url: list[str] = [],  # noqa: B006
+    entry_url: Sequence[str] = (),
     json: bool = False,
 ):
     """Bring a data centre back into service; needs the table.
@@ -215,7 +233,7 @@
     return run_command(command, entry_url)
 
 
-def show_status(*, entry_url: list[str] = [], json: bool = False):  # noqa: B006
+def show_status(*, entry_url: Sequence[str] = (), json: bool = False):
     """Show data centres, organisations and the version in force at each instance.
 
     :param entry_url: URL of an entry instance; several are tried in order
@@ -227,7 +245,8 @@
         if isinstance(answer, int):
             return answer
         if json:
-            return print_json(answer)
+            print_json(answer)
+            return EXIT_DONE
         print(f"configuration version {answer['version']}\n")
         print_data_centres(answer["data_centres"])
         print()
@@ -242,7 +261,7 @@
 def show_workers(
     *,
     data_centre: str = "",
-    entry_url: list[str] = [],  # noqa: B006
+    entry_url: Sequence[str] = (),
     json: bool = False,
 ):
     """Show the workers of all data centres or of one.
@@ -265,7 +284,8 @@
             print(f"unknown data centre {data_centre!r}", file=sys.stderr)
             return EXIT_FINDINGS
         if json:
-            return print_json({"data_centres": shown})
+            print_json({"data_centres": shown})
+            return EXIT_DONE
         print_workers(shown)
         return EXIT_DONE
 
@@ -275,7 +295,7 @@
 def show_jobs(
     *,
     organisation: str = "",
-    entry_url: list[str] = [],  # noqa: B006
+    entry_url: Sequence[str] = (),
     json: bool = False,
 ):
     """Show all open jobs and why those that wait do so.
@@ -293,7 +313,8 @@
             job for job in answer["jobs"] if organisation in ("", job["organisation"])
         ]
         if json:
-            return print_json({**answer, "jobs": jobs})
+            print_json({**answer, "jobs": jobs})
+            return EXIT_DONE
         print_jobs(jobs)
         print_unanswered(answer["unanswered_data_centres"])
         return EXIT_DONE
@@ -305,7 +326,7 @@
     version: int,
     *,
     timeout_seconds: float = 10.0,
-    entry_url: list[str] = [],  # noqa: B006
+    entry_url: Sequence[str] = (),
     json: bool = False,
 ):
     """Wait until a version, or a later one, is in force at every instance.
@@ -332,13 +353,10 @@
     return run_command(command, entry_url)
 
 
-_LISTS = ((ORGANISATIONS_FILE, "organisations"), (PLANS_FILE, "plans"))
-
-
 def read_lists(organisations, plans):
     """Return the texts of both files; raises `UsageError` naming all bad ones."""
     texts, problems = {}, []
-    for (_, key), path in zip(_LISTS, (organisations, plans), strict=True):
+    for (_, key), path in zip(LISTS, (organisations, plans), strict=True):
         try:
             texts[key] = path.read_text(encoding="utf-8")
         except (OSError, UnicodeDecodeError) as error:
@@ -417,7 +435,8 @@
     if isinstance(rows, int):
         rows = body.get("in_force", [])
     if json:
-        return print_json({**body, "in_force": rows})
+        print_json({**body, "in_force": rows})
+        return EXIT_DONE
     print(f"{title}recorded as version {version}")
     print_in_force(rows, version)
     return EXIT_DONE
@@ -436,31 +455,9 @@
         await anyio.sleep(POLL_INTERVAL_SECONDS)
 
 
-def is_in_force(rows, version):
-    """Whether every instance that serves has acknowledged the version."""
-    serving = [row for row in rows if not (row["is_leaving"] and row["silent_seconds"])]
-    return bool(serving) and all(row["version"] >= version for row in serving)
-
-
 def is_same(body, lists):
     """Whether an answer holds exactly these lists."""
-    return all(body.get(key) == lists[key] for _, key in _LISTS)
-
-
-def difference_of(old, new, old_name, new_name):
-    """Return the unified difference of two pairs of lists."""
-    lines = []
-    for name, key in _LISTS:
-        lines += difflib.unified_diff(
-            old[key].splitlines(),
-            new[key].splitlines(),
-            f"{name} ({old_name})",
-            f"{name} ({new_name})",
-            lineterm="",
-        )
-    if not lines and any(old[key] != new[key] for _, key in _LISTS):
-        return "the lists differ in line ends only"
-    return "\n".join(lines)
+    return all(body.get(key) == lists[key] for _, key in LISTS)
 
 
 def is_confirmed(question):
@@ -496,190 +493,6 @@
     return EXIT_UNKNOWN
 
 
-def has_errors(findings):
-    """Whether any finding of a JSON answer is an error."""
-    return any(not finding["is_warning"] for finding in findings)
-
-
-def print_json(value):
-    """Print a value as JSON; return the exit code for success."""
-    print(json_module.dumps(value, indent=2, ensure_ascii=False))
-    return EXIT_DONE
-
-
-def print_findings(findings, *, file=None):
-    """Print findings, one a line."""
-    for line in describe_findings(findings):
-        print(line, file=file)
-
-
-def print_refusal(body):
-    """Print why a request was refused."""
-    print_findings(body.get("findings", []), file=sys.stderr)
-    outcome = body.get("outcome", "refused").replace("_", " ")
-    reason = body.get("reason") or body.get("code") or "see the findings"
-    print(f"{outcome}: {reason}", file=sys.stderr)
-
-
-def print_conflict(body, lists, current):
-    """Print what a concurrent change did and how it differs from these lists."""
-    version = body.get("version")
-    print(f"conflict: {body.get('reason')}; nothing was recorded", file=sys.stderr)
-    if version is None:
-        return
-    old_name = f"version {current['version']}"
-    new_name = f"version {version}"
-    print(f"changed by others from {old_name} to {new_name}:")
-    print(difference_of(current, body, old_name, new_name) or "  the lists are equal")
-    print(f"difference of your lists to {new_name}:")
-    print(difference_of(body, lists, new_name, "yours") or "  none")
-
-
-def describe_take_out(name, body):
-    """Return the answer to a take-out as text."""
-    if body["outcome"] == "recorded":
-        lines = [f"{name} is out of service: recorded as version {body['version']}"]
-    else:
-        lines = [
-            f"{name}: take-out notice {body['notice_id']} sent but NOT RECORDED yet:"
-            f" {body.get('reason', '')}",
-            "the instances that have heard of it record it once the table answers",
-        ]
-    confirmed = ", ".join(body["confirmed_by"]) or "no instance"
-    if body["is_in_force"]:
-        lines.append(f"in force in {name}: confirmed by {confirmed}")
-    else:
-        missing = ", ".join(body["unconfirmed"]) or "no instance is known there"
-        lines.append(f"NOT known to be in force in {name}: confirmed by {confirmed}")
-        lines.append(f"not confirmed by: {missing}")
-    return "\n".join(lines)
-
-
-def print_in_force(rows, version):
-    """Print at which instances a version is in force."""
-    table = [
-        (
-            row["instance_id"],
-            row["data_centre"],
-            row["version"],
-            row["version"] >= version,
-            _instance_state(row),
-        )
-        for row in rows
-    ]
-    headers = ("instance", "data centre", "version", f"{version} in force", "state")
-    print(format_table(headers, table))
-    if not is_in_force(rows, version):
-        print(f"version {version} is not in force everywhere")
-
-
-def _instance_state(row):
-    state = "leaving" if row["is_leaving"] else "live"
-    if row["silent_seconds"] is None:
-        return f"{state}, never heard"
-    if row["silent_seconds"]:
-        return f"{state}, silent for {row['silent_seconds']:g} s"
-    return state
-
-
-def print_data_centres(data_centres):
-    """Print one line for each data centre."""
-    rows = []
-    for item in data_centres:
-        workers = item["workers"]
-        totals = (None, None, None)
-        if workers is not None:
-            totals = (
-                len(workers),
-                sum(worker["accelerators_count"] for worker in workers),
-                sum(worker["free_accelerators_count"] for worker in workers),
-            )
-        placer = item["placer_id"] if item["is_answering"] else "no answer"
-        service = "in" if item["is_in_service"] else "OUT"
-        rows.append((item["data_centre"], service, placer, *totals, item["jobs_count"]))
-    headers = (
-        "data centre", "service", "placer", "workers", "accelerators", "free", "jobs",
-    )  # fmt: skip
-    print(format_table(headers, rows))
-
-
-def print_organisations(answer):
-    """Print plan and use of each organisation, in accelerators."""
-    rows = [
-        (
-            item["organisation"],
-            item["plan"] or "none",
-            item["guaranteed_accelerators_count"],
-            item["quota_accelerators_count"],
-            item["in_use_guaranteed_accelerators_count"],
-            item["in_use_borrowed_accelerators_count"],
-            item["waiting_accelerators_count"],
-            item["running_jobs_count"],
-            item["waiting_jobs_count"],
-        )
-        for item in answer["organisations"]
-    ]
-    headers = (
-        "organisation", "plan", "guarantee", "quota", "guaranteed", "borrowed",
-        "waiting", "jobs running", "jobs waiting",
-    )  # fmt: skip
-    print(format_table(headers, rows))
-    print_unanswered(answer["unanswered_data_centres"])
-
-
-def print_unanswered(names):
-    """Print which data centres the figures above leave out."""
-    if names:
-        print(f"not included, no answer: {', '.join(names)}")
-
-
-def print_workers(data_centres):
-    """Print one line for each worker."""
-    rows = [
-        (
-            worker["worker_id"],
-            item["data_centre"],
-            worker["rack"],
-            "leaving" if worker["is_leaving"] else worker["health"] or "live",
-            worker["accelerators_count"],
-            worker["free_accelerators_count"],
-            worker["tasks_count"],
-        )
-        for item in data_centres
-        for worker in item["workers"] or ()
-    ]
-    headers = (
-        "worker", "data centre", "rack", "state", "accelerators", "free", "tasks",
-    )  # fmt: skip
-    print(format_table(headers, rows))
-    print_unanswered(
-        [item["data_centre"] for item in data_centres if not item["is_answering"]]
-    )
-
-
-def print_jobs(jobs):
-    """Print one line for each open job."""
-    rows = [
-        (
-            job["job_id"],
-            job["organisation"],
-            job["data_centre"],
-            job["urgency"],
-            job["status"],
-            job["attempt"],
-            job["tasks_count"],
-            job["accelerators_count"],
-            job["reason"],
-        )
-        for job in jobs
-    ]
-    headers = (
-        "job", "organisation", "data centre", "urgency", "status", "attempt", "tasks",
-        "accelerators", "reason",
-    )  # fmt: skip
-    print(format_table(headers, rows))
-
-
 COMMANDS = {
     "lists": {"show": show_lists, "check": check_lists, "apply": apply_lists},
     "data-centre": {"out": take_out, "in": bring_back},
