Tell the callers of an entry apart by process, not by address

Cause: the fixture gave each data centre its own routes to peers through the instance list. The daemon also takes addresses from heartbeats, which led around these routes, so that a test of a partition would not have cut all traffic.

Change: an entry advertises one port of the proxy; the proxy finds the process that made a connection in /proc and applies the faults of its data centre. The addresses by reader in the platform stand-in are gone, with their test lines; test_sources_share_a_port_and_fail_separately takes their place.

Ruled out: a header of the peer links, which would make the fixture depend on the daemon under test; source addresses in 127.0.0.0/8, because the daemon binds no source address.

--- a/emulator/platform.py
+++ b/emulator/platform.py
@@ -2,10 +2,8 @@
 
 One process, state in memory. Faults and the journal are under ``/control``:
 ``POST /control/faults`` (see `parse_fault`), ``POST /control/clear``,
-``GET /control/journal?after=SEQUENCE``, ``GET /control/statistics``,
-``DELETE /control/instances/{id}`` (the platform notices a dead instance) and
-``POST /control/addresses`` (an address as seen from one data centre, so that tests
-can place a proxy on each link).
+``GET /control/journal?after=SEQUENCE``, ``GET /control/statistics`` and
+``DELETE /control/instances/{id}`` (the platform notices a dead instance).
 """
 
 import bisect
@@ -56,7 +54,6 @@
     registered: dict = attrs.field(factory=dict)
     visible: dict = attrs.field(factory=dict)
     unseen_changes: deque = attrs.field(factory=deque)
-    addresses: dict = attrs.field(factory=dict)
     journal: list = attrs.field(factory=list)
     counts: Counter = attrs.field(factory=Counter)
     faults: FaultTable = attrs.field(factory=lambda: FaultTable(any_subject="all"))
@@ -101,8 +98,8 @@
             self.registered[instance_id] = entry
         self.unseen_changes.append((now_seconds, instance_id, entry))
 
-    def list_instances(self, *, data_centre, now_seconds):
-        """Return the list as it was ``lag_seconds`` ago, as seen in a data centre."""
+    def list_instances(self, *, now_seconds):
+        """Return the list as it was ``lag_seconds`` ago."""
         while (
             self.unseen_changes
             and self.unseen_changes[0][0] <= now_seconds - self.lag_seconds
@@ -112,11 +109,7 @@
                 self.visible.pop(instance_id, None)
             else:
                 self.visible[instance_id] = entry
-        return [
-            entry | {"address": self.addresses.get((data_centre, instance_id), address)}
-            for instance_id, entry in sorted(self.visible.items())
-            for address in [entry["address"]]
-        ]
+        return [entry for _, entry in sorted(self.visible.items())]
 
     def record(self, service, operation, key, *, data_centre, now_seconds, **fields):
         """Append an applied write to the journal."""
@@ -230,9 +223,7 @@
         return JSONResponse({})
 
     async def list_instances(request):
-        entries = platform.list_instances(
-            data_centre=data_centre_of(request), now_seconds=time.monotonic()
-        )
+        entries = platform.list_instances(now_seconds=time.monotonic())
         return JSONResponse({"instances": entries})
 
     async def write_instance(request):
@@ -272,13 +263,6 @@
         platform.faults.clear()
         return JSONResponse({})
 
-    async def set_address(request):
-        body = await read_json_object(request)
-        reader = field_of(body, "reader_data_centre", str)
-        instance_id = field_of(body, "instance_id", str)
-        platform.addresses[reader, instance_id] = field_of(body, "address", str)
-        return JSONResponse({})
-
     async def read_journal(request):
         after = int(request.query_params.get("after", 0))
         return JSONResponse({"events": platform.journal[after:]})
@@ -298,7 +282,6 @@
         Route("/control/instances/{instance_id}", remove_instance, methods=["DELETE"]),
         Route("/control/faults", add_fault, methods=["POST"]),
         Route("/control/clear", clear_faults, methods=["POST"]),
-        Route("/control/addresses", set_address, methods=["POST"]),
         Route("/control/journal", read_journal, methods=["GET"]),
         Route("/control/statistics", read_statistics, methods=["GET"]),
     ]
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -6,10 +6,10 @@
 
 - ``DC>platform``: entries of a data centre to the platform,
 - ``DC>workers``: entries of a data centre to its workers,
-- ``DC>INSTANCE_ID``: entries of a data centre to an entry of another one.
+- ``DC>INSTANCE_ID``: entries of a data centre to one entry.
 
-Entries learn peer addresses from the instance list, which shows to each data centre
-its own routes; this needs clients that send the header ``x-data-centre``.
+An entry advertises one port of the proxy, which tells callers apart by process. Peers
+therefore use their own route wherever they learned the address.
 """
 
 import configparser
@@ -147,10 +147,9 @@
 
         self.proxy = self.wait(connect, "the proxy listens")
 
-    def _add_route(self, name, port, *, delay_seconds=0.0):
+    def _add_route(self, name, port):
         """Add a route to a port and return its base URL."""
         answer = self.proxy.send("add", route=name, target=f"127.0.0.1:{port}")
-        self.proxy.send("set", route=name, delay_seconds=delay_seconds)
         return f"http://127.0.0.1:{answer['listen_port']}"
 
     def _run(self, name, module, *arguments):
@@ -162,9 +161,11 @@
         """Start an entry with a new instance id and new ports, without waiting."""
         instance_id = f"{data_centre}-entry-{next(self.entry_numbers):03d}"
         http_port, peer_port = self.ports.take(), self.ports.take()
-        platform_url = self.platform.url
+        platform_url, peer_address = self.platform.url, ""
         if self.proxy is not None:
-            platform_url = self._route_entry(data_centre, instance_id, peer_port)
+            platform_url, peer_address = self._route_entry(
+                data_centre, instance_id, peer_port
+            )
         path = self.directory / f"{instance_id}.ini"
         sections = {
             "instance": {
@@ -172,6 +173,7 @@
                 "data_centre": data_centre,
                 "http_port": http_port,
                 "peer_port": peer_port,
+                "advertised_peer_address": peer_address,
             },
             "platform": {
                 "table_url": platform_url,
@@ -189,26 +191,30 @@
             peer_port=peer_port,
         )
         self.entries[instance_id] = entry
+        if self.proxy is not None:
+            pid = entry.process.popen.pid
+            self.proxy.send("source", pid=pid, source=data_centre)
         return entry
 
     def _route_entry(self, data_centre, instance_id, peer_port):
-        """Add the routes of a new entry and return its platform URL."""
-        for reader in self.data_centres:
-            if reader == data_centre:
-                continue
-            url = self._add_route(
-                f"{reader}>{instance_id}",
-                peer_port,
-                delay_seconds=self.remote_delay_seconds,
-            )
-            body = {
-                "reader_data_centre": reader,
-                "instance_id": instance_id,
-                "address": url.removeprefix("http://"),
-            }
-            self.platform.control("POST", "addresses", body)
-        port = self.proxy.send("statistics")[f"{data_centre}>platform"]["listen_port"]
-        return f"http://127.0.0.1:{port}"
+        """Add the routes of a new entry; return its platform URL and peer address."""
+        answer = self.proxy.send(
+            "add",
+            route=instance_id,
+            target=f"127.0.0.1:{peer_port}",
+            sources=self.data_centres,
+        )
+        for source in self.data_centres:
+            if source != data_centre:
+                self.proxy.send(
+                    "set",
+                    route=f"{source}>{instance_id}",
+                    delay_seconds=self.remote_delay_seconds,
+                )
+        routes = self.proxy.send("statistics")
+        platform_port = routes[f"{data_centre}>platform"]["listen_port"]
+        peer_address = f"127.0.0.1:{answer['listen_port']}"
+        return f"http://127.0.0.1:{platform_port}", peer_address
 
     def restart(self, entry, *, is_listed=False):
         """Replace an entry and wait until the new one is ready.
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -4,7 +4,10 @@
 --target HOST:PORT --control-port M``. The control port takes one JSON command a line
 and answers one JSON line (see `Proxy.apply`):
 
-- ``{"command": "add", "route": NAME, "listen_port": N, "target": "HOST:PORT"}``
+- ``{"command": "add", "route": NAME, "listen_port": N, "target": "HOST:PORT"}``; with
+  ``"sources": [SOURCE, ...]`` one port serves a route ``SOURCE>NAME`` for each source.
+- ``{"command": "source", "pid": PID, "source": SOURCE}`` tells whose connections a
+  process makes; such a port resets connections of other processes.
 - ``{"command": "set", "route": NAME or "*", "direction": "to_target", "to_client" or
   "both", "mode": "pass", "drop" or "hold", "delay_seconds": S}``: ``drop`` discards
   bytes, ``hold`` keeps them until the mode changes. As in a partition, no connection is
@@ -18,6 +21,7 @@
 
 import contextlib
 import json
+import os
 import socket
 import struct
 import time
@@ -86,22 +90,44 @@
     def __init__(self, tasks):
         self.routes = {}
         self._tasks = tasks
+        self._sources = {}
 
-    async def add_route(self, name, *, target, listen_port=0):
-        """Listen on a loopback port (0: any free one) and return the route."""
+    async def add_route(self, name, *, target, listen_port=0, sources=()):
+        """Listen on a loopback port (0: any free one); return one route on it."""
         host, _, port = target.rpartition(":")
         listener = await anyio.create_tcp_listener(
             local_host="127.0.0.1", local_port=listen_port
         )
-        route = Route(
-            name=name,
-            listen_port=listener.extra(SocketAttribute.local_port),
-            target_host=host,
-            target_port=int(port),
+        routes = {
+            source: Route(
+                name=f"{source}>{name}" if source else name,
+                listen_port=listener.extra(SocketAttribute.local_port),
+                target_host=host,
+                target_port=int(port),
+            )
+            for source in sources or ("",)
+        }
+        self.routes |= {route.name: route for route in routes.values()}
+
+        async def serve_client(client):
+            source = self._find_source(client) if sources else ""
+            if source in routes:
+                await _serve_client(routes[source], client)
+            else:
+                _reset_on_close(client)
+                await _ignore_broken(client.aclose)
+
+        self._tasks.start_soon(listener.serve, serve_client)
+        return next(iter(routes.values()))
+
+    def _find_source(self, client):
+        """Return the source whose process made a connection, or None."""
+        pid = find_connecting_process(
+            self._sources,
+            client_port=client.extra(SocketAttribute.remote_port),
+            listen_port=client.extra(SocketAttribute.local_port),
         )
-        self.routes[name] = route
-        self._tasks.start_soon(listener.serve, lambda s: _serve_client(route, s))
-        return route
+        return self._sources.get(pid)
 
     async def apply(self, command):
         """Carry out one command and return the answer; raises KeyError, ValueError."""
@@ -111,8 +137,12 @@
                 command["route"],
                 target=command["target"],
                 listen_port=command.get("listen_port", 0),
+                sources=command.get("sources", ()),
             )
             return {"listen_port": route.listen_port}
+        if kind == "source":
+            self._sources[command["pid"]] = command["source"]
+            return {}
         if kind == "statistics":
             return {name: _statistics(route) for name, route in self.routes.items()}
         for route in self._matching(command["route"]):
@@ -148,6 +178,26 @@
             _cut([item for item in route.connections if item.has_lost_bytes])
 
 
+def find_connecting_process(pids, *, client_port, listen_port):
+    """Return which of some processes made a loopback connection, or None.
+
+    Reads Linux's ``/proc``: sources share one address, so that only the owner of the
+    socket tells them apart.
+    """
+    ends = (f"0100007F:{client_port:04X}", f"0100007F:{listen_port:04X}")
+    with open("/proc/net/tcp", encoding="ascii") as table:
+        rows = [line.split() for line in table]
+    inodes = [row[9] for row in rows if (row[1], row[2]) == ends]
+    names = {f"socket:[{inode}]" for inode in inodes}
+    for pid in pids:
+        with contextlib.suppress(OSError):
+            for file in os.scandir(f"/proc/{pid}/fd"):
+                with contextlib.suppress(OSError):
+                    if os.readlink(file.path) in names:
+                        return pid
+    return None
+
+
 def _directions_of(name):
     if name == "both":
         return DIRECTIONS
--- a/tests/test_emulator_platform.py
+++ b/tests/test_emulator_platform.py
@@ -74,18 +74,13 @@
     entry = {"kind": "entry", "data_centre": "x", "address": "a:1", "state": "live"}
     with running_platform() as call:
 
-        def listed(data_centre=""):
-            headers = {"x-data-centre": data_centre}
-            return call("GET", "/v1/instances", headers=headers)[1]["instances"]
+        def listed():
+            return call("GET", "/v1/instances")[1]["instances"]
 
         call("PUT", "/v1/instances/e1", entry)
         check.assertEqual(listed(), [])
         expected = {"instance_id": "e1", **entry}
         wait_until(lambda: listed() == [expected], "entry is listed")
-        body = {"reader_data_centre": "y", "instance_id": "e1", "address": "b:2"}
-        call("POST", "/control/addresses", body)
-        check.assertEqual(listed("y"), [{**expected, "address": "b:2"}])
-        check.assertEqual(listed("x"), [expected])
         call("DELETE", "/control/instances/e1")
         check.assertEqual(listed(), [expected])
         wait_until(lambda: listed() == [], "entry is removed")
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -1,6 +1,7 @@
 """The fault-injecting proxy: each fault affects its direction only."""
 
 import contextlib
+import sys
 import time
 
 import anyio
@@ -143,6 +144,57 @@
     anyio.run(run)
 
 
+def test_sources_share_a_port_and_fail_separately():
+    """Guards against a partition that the address in a heartbeat leads around."""
+    script = """if True:
+        import socket, sys
+        for line in sys.stdin:
+            try:
+                with socket.create_connection(("127.0.0.1", int(line)), 1) as stream:
+                    stream.sendall(b"a")
+                    print(stream.recv(1) or b"closed", flush=True)
+            except OSError as error:
+                print(type(error).__name__, flush=True)
+    """
+
+    async def run():
+        async with proxied_server() as (command, connect, received, proxy):
+            async with (
+                await anyio.open_process([sys.executable, "-c", script]) as first,
+                await anyio.open_process([sys.executable, "-c", script]) as second,
+            ):
+                await proxy.apply(
+                    {"command": "source", "pid": first.pid, "source": "x"}
+                )
+                await proxy.apply(
+                    {"command": "source", "pid": second.pid, "source": "y"}
+                )
+                target = f"127.0.0.1:{proxy.routes['r'].target_port}"
+                route = await proxy.add_route("s", target=target, sources=["x", "y"])
+
+                async def answers():
+                    line = f"{route.listen_port}\n".encode()
+                    await first.stdin.send(line)
+                    await second.stdin.send(line)
+                    return [
+                        (await arrives(process.stdout)).decode().strip()
+                        for process in (first, second)
+                    ]
+
+                check.assertEqual(await answers(), ["b'A'", "b'A'"])
+                await proxy.apply({"command": "set", "route": "x>s", "mode": "drop"})
+                check.assertEqual(await answers(), ["TimeoutError", "b'A'"])
+                async with await anyio.connect_tcp(
+                    "127.0.0.1", route.listen_port
+                ) as unknown:
+                    with check.assertRaises(BROKEN):
+                        await arrives(unknown)
+                await first.stdin.aclose()
+                await second.stdin.aclose()
+
+    anyio.run(run)
+
+
 def test_control_port_answers_commands():
     """Guards against an unusable control interface or a silent bad command."""
 
