Follow the daemon's answers in the load tool

Cause: answers name their outcome in outcome; unknown with status 503 or 404 means that the instance cannot tell, and the tool counted it as final.

Change: only an outcome with status 200 or a refusal is final; a 503 moves on to the next instance, a 404 submits again with the same key.

--- a/emulator/load.py
+++ b/emulator/load.py
@@ -1,8 +1,8 @@
 """Load tool: submits a seeded mix of jobs and reports outcomes and completion times.
 
 Arrivals do not wait for completions. Each caller behaves as the design page asks: it
-sends an idempotency key, retries at another instance when no answer arrives, and polls
-until the outcome is final.
+sends an idempotency key, retries at another instance when no answer arrives or status
+503 says that this one cannot serve it, and polls until the outcome is final.
 """
 
 import json
@@ -18,7 +18,6 @@
 import httpcore
 
 from kingcuptrack.state.jobs import (
-    FINAL_PHASES,
     JobSpec,
     TaskResult,
     Urgency,
@@ -189,33 +188,36 @@
 async def follow_job(planned, *, pool, entry_urls, report, first_index):
     """Return the final outcome of a job, its id and the answer that stated it."""
     job_id = make_job_id(planned.spec.organisation, planned.spec.idempotency_key)
-    body = json.dumps(cattrs.unstructure(planned.spec)).encode()
-    method, path = "POST", "/v1/jobs"
+    submission = ("POST", "/v1/jobs", json.dumps(cattrs.unstructure(planned.spec)))
+    poll = ("GET", f"/v1/jobs/{job_id}?wait_seconds={POLL_SECONDS}", "")
+    method, path, body = submission
     index = first_index
+    refusals_count = 0
     while True:
         url = entry_urls[index % len(entry_urls)]
-        status, answer = await send(pool, method, url + path, body)
-        if status is None:
-            report.unanswered_requests_count += 1
-            index += 1
-            await anyio.sleep(RETRY_SECONDS)
-            continue
+        status, answer = await send(pool, method, url + path, body.encode())
+        report.unanswered_requests_count += status is None
         outcome = final_outcome(status, answer)
-        if outcome:
+        refusals_count += outcome.startswith("not_run")
+        is_last_try = status != 503 or refusals_count >= len(entry_urls)
+        if outcome and is_last_try:
             return outcome, job_id, answer
-        if status >= 500:
+        if status is None or status >= 500:
             index += 1
             await anyio.sleep(RETRY_SECONDS)
-            continue
-        if method == "GET":
-            # A long poll has ended without an outcome, or the job is not visible yet.
-            await anyio.sleep(POLL_PAUSE_SECONDS)
-        method, body = "GET", b""
-        path = f"/v1/jobs/{answer.get('job_id', job_id)}?wait_seconds={POLL_SECONDS}"
+        elif status == 404:
+            # No instance knows the job: submitting it again is safe with its key.
+            method, path, body = submission
+            await anyio.sleep(RETRY_SECONDS)
+        else:
+            if method == "GET":
+                # Bounds the rate of polls that return at once.
+                await anyio.sleep(POLL_PAUSE_SECONDS)
+            method, path, body = poll
 
 
 async def send(pool, method, url, body):
-    """Send one request; returns (None, None) if no complete answer arrives."""
+    """Send one request; returns (None, {}) if no complete answer arrives."""
     seconds = dict.fromkeys(
         ("connect", "read", "write", "pool"), REQUEST_TIMEOUT_SECONDS
     )
@@ -230,20 +232,23 @@
         httpcore.TimeoutException,
         ValueError,
     ):
-        return None, None
+        return None, {}
     return response.status, answer if isinstance(answer, dict) else {}
 
 
 def final_outcome(status, answer):
     """Return the final outcome that an answer states, or an empty text.
 
-    A refusal (4xx) without a final phase counts as not run and names its code.
+    ``not_run`` is followed by the code of the refusal. ``unknown`` is final only with
+    status 200; otherwise it means that this instance could not tell.
     """
-    for name in ("phase", "outcome"):
-        if answer.get(name) in FINAL_PHASES or answer.get(name) == "not_run":
-            return str(answer[name])
-    if 400 <= status < 500 and status != 404:
-        return f"not_run: {answer.get('code', status)}"
+    if status is None:
+        return ""
+    outcome = answer.get("outcome", "")
+    if outcome == "not_run":
+        return f"not_run: {answer.get('code') or answer.get('phase') or status}"
+    if status == 200 and outcome in ("done", "failed", "unknown"):
+        return outcome
     return ""
 
 
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -35,7 +35,7 @@
         digest = hashlib.sha256(body.encode()).hexdigest()
         entry = {"body": body, "length_bytes": len(body), "sha256": digest}
         results.append({"task_index": index, **entry})
-    return {"job_id": job_id, "phase": "done", "results": results}
+    return {"job_id": job_id, "outcome": "done", "results": results}
 
 
 def test_outcomes_and_crossed_answers_are_reported():
@@ -51,11 +51,12 @@
         job_id = make_job_id(spec.organisation, key)
         seen_keys.append(key)
         if key == unavailable and seen_keys.count(key) == 1:
-            return JSONResponse({"code": "unavailable"}, status_code=503)
+            return JSONResponse({"outcome": "unknown"}, status_code=503)
         if key == refused:
-            return JSONResponse({"code": "too_large"}, status_code=400)
+            body = {"outcome": "not_run", "code": "never_fits"}
+            return JSONResponse(body, status_code=422)
         answers[job_id] = make_answer(spec, "0" if key == crossed else job_id)
-        return JSONResponse({"job_id": job_id, "phase": "queued"}, status_code=202)
+        return JSONResponse({"job_id": job_id, "outcome": "pending"}, status_code=202)
 
     async def read(request):
         return JSONResponse(answers[request.path_params["job_id"]])
@@ -77,8 +78,9 @@
     ports = PortPool()
     report = describe_report(anyio.run(run, ports.take()), jobs, seed=3)
     ports.close()
-    check.assertEqual(report["outcomes"], {"done": 3, "not_run: too_large": 1})
+    check.assertEqual(report["outcomes"], {"done": 3, "not_run: never_fits": 1})
     check.assertEqual(report["pending_count"], 0)
+    check.assertEqual(seen_keys.count(unavailable), 2)
     check.assertEqual(len(report["wrong_answers"]), 1)
     check.assertIn("another task", report["wrong_answers"][0]["problem"])
     times = report["completion_seconds"].values()
