Compare gangs of the worker stand-in by identity; state what the proxy hides

Cause: attrs compared gangs field by field when capacity was summed, and the proxy page promised that no connection is established while bytes are dropped, though the caller's connect succeeds.

Change: gangs and tasks compare by identity; the text says what a caller sees.

--- a/emulator/worker_state.py
+++ b/emulator/worker_state.py
@@ -74,7 +74,7 @@
         return Payload(is_valid=False)
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False)
 class Task:
     """One task; ``progress_seconds`` was measured at ``measured_at_seconds``."""
 
@@ -94,7 +94,7 @@
         self.measured_at_seconds = now_seconds
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False)
 class Gang:
     """The tasks of one attempt of a job on this worker."""
 
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -10,13 +10,16 @@
   process makes; such a port resets connections of other processes.
 - ``{"command": "set", "route": NAME or "*", "direction": "to_target", "to_client" or
   "both", "mode": "pass", "drop" or "hold", "delay_seconds": S}``: ``drop`` discards
-  bytes, ``hold`` keeps them until the mode changes. As in a partition, no connection is
-  established meanwhile, and one that lost bytes is reset when the mode changes.
+  bytes, ``hold`` keeps them until the mode changes. Connections opened meanwhile reach
+  no target; they, and those that lost bytes, are reset when both directions pass.
 - ``{"command": "cut", "route": NAME}`` resets open connections.
 - ``{"command": "refuse", "route": NAME, "refuses": true}`` also resets new ones.
 - ``{"command": "half_close", "route": NAME, "direction": D}`` ends the stream in one
   direction on open connections.
 - ``{"command": "statistics"}`` answers connections and forwarded bytes by route.
+
+The proxy accepts before it connects: where a direct caller would be refused, one behind
+the proxy sees a connection that is reset.
 """
 
 import contextlib
