--- a/kingcuptrack/coordination/entry.py
+++ b/kingcuptrack/coordination/entry.py
@@ -33,8 +33,6 @@
 from .placer import Placer
 from .routing import Router
 
-WORKER_CONNECTIONS_COUNT = 256
-
 # A new instance waits this long for peers before it can become the placer, so that
 # it does not act beside a placer that it has not heard of yet.
 SETTLE_SECONDS = 1.0
@@ -52,7 +50,6 @@
             connections_count=settings.platform_connections_count,
             headers={"x-data-centre": settings.data_centre},
         )
-        self._workers_client = HttpClient(connections_count=WORKER_CONNECTIONS_COUNT)
         self._build_platform_parts()
         self._build_scheduling_parts()
         self._server = HttpServer(
@@ -100,10 +97,7 @@
             job_table=self._job_table,
             mailbox=self._mailbox,
         )
-        worker_client = WorkerClient(
-            http_client=self._workers_client,
-            timeout_seconds=settings.worker_timeout_seconds,
-        )
+        worker_client = WorkerClient(timeout_seconds=settings.worker_timeout_seconds)
         context = PlacerContext(
             settings=settings,
             membership=self._membership,
--- a/kingcuptrack/transport/workers.py
+++ b/kingcuptrack/transport/workers.py
@@ -1,5 +1,6 @@
 """Client of the control interface of workers."""
 
+import time
 from urllib.parse import urlencode
 
 import attrs
@@ -9,7 +10,7 @@
 from ..protocol.codecs import json_converter
 from ..state.jobs import TaskResult
 from ..state.shapes import Capacity, Shape
-from .http_client import decode_body
+from .http_client import HttpClient, decode_body
 
 
 @attrs.frozen(kw_only=True)
@@ -78,12 +79,29 @@
     usage: dict = attrs.field(factory=dict)
 
 
+# Connections to one worker: renewals and the calls of the gangs that it holds.
+CONNECTIONS_COUNT = 8
+
+# Pools of workers that were not called for this long are closed.
+IDLE_POOL_SECONDS = 120.0
+
+
+@attrs.define(kw_only=True)
+class _WorkerPool:
+    http_client: HttpClient
+    used_seconds: float
+
+
 class WorkerClient:
-    """Calls to workers; each takes the base address of the worker."""
+    """Calls to workers; each takes the base address of the worker.
+
+    Every worker has a pool of its own, since the cost of a call on a pool of
+    httpcore grows with the number of its connections.
+    """
 
-    def __init__(self, *, http_client, timeout_seconds):
-        self._http_client = http_client
+    def __init__(self, *, timeout_seconds):
         self._timeout_seconds = timeout_seconds
+        self._pools = {}
 
     async def read_state(self, address):
         """Return Done with a `WorkerState`."""
@@ -153,8 +171,26 @@
             return Unknown(message=f"answer belongs to {found}")
         return Done(value=json_converter.structure(data, TaskResult))
 
+    async def _http_client_of(self, address):
+        now_seconds = time.monotonic()
+        pool = self._pools.get(address)
+        if pool is None:
+            await self._close_idle(now_seconds)
+            http_client = HttpClient(connections_count=CONNECTIONS_COUNT)
+            pool = _WorkerPool(http_client=http_client, used_seconds=now_seconds)
+            self._pools[address] = pool
+        pool.used_seconds = now_seconds
+        return pool.http_client
+
+    async def _close_idle(self, now_seconds):
+        horizon = now_seconds - IDLE_POOL_SECONDS
+        idle = [a for a, pool in self._pools.items() if pool.used_seconds < horizon]
+        for address in idle:
+            await self._pools.pop(address).http_client.close()
+
     async def _call(self, address, operation, body, kind=None):
-        outcome = await self._http_client.request(
+        http_client = await self._http_client_of(address)
+        outcome = await http_client.request(
             "GET" if body is None else "POST",
             f"{address}/v1/{operation}",
             timeout_seconds=self._timeout_seconds,
