Add worker health and retry budgets

Cause: workers that fail everything they start, jobs that fail everywhere, and retry storms after an outage. Ruled out: counting lost workers against the job (a failing rack would fail good jobs); counting repeated failures of one job against a worker (one faulty job would quarantine it). Change: failures of three different jobs quarantine a worker until a probe of one task succeeds; the delay between probes doubles. Task errors on three workers that are not quarantined are the job's own fault. Token buckets by organisation and endpoint bound retries; delays are exponential with jitter from a random source that is passed in.

--- /dev/null
+++ b/kingcuptrack/state/health.py
@@ -0,0 +1,138 @@
+"""Health of workers and of jobs, derived from failures.
+
+A worker that fails several different jobs is quarantined; a job that fails on
+several healthy workers is itself at fault.
+"""
+
+import attrs
+
+
+@attrs.define(kw_only=True)
+class Quarantine:
+    """A worker that gets no work, apart from probes of one task.
+
+    ``delay_seconds`` is the time to the next probe and doubles with each failure.
+    """
+
+    until_seconds: float
+    delay_seconds: float
+    probe_job_id: str = ""
+
+
+@attrs.define(kw_only=True)
+class Health:
+    """Failures not yet outdated, and the quarantined workers."""
+
+    quarantine_jobs_count: int = 3
+    fail_job_workers_count: int = 3
+    window_seconds: float = 600.0
+    probe_delay_seconds: float = 30.0
+    probe_delay_limit_seconds: float = 1800.0
+    jobs_limit_count: int = 10_000
+    failures_by_worker: dict[str, dict[str, float]] = attrs.field(factory=dict)
+    workers_by_job: dict[str, set[str]] = attrs.field(factory=dict)
+    quarantines: dict[str, Quarantine] = attrs.field(factory=dict)
+
+
+def record_failure(health, worker_id, job_id, *, now_seconds, tasks_failed):
+    """Record that a gang failed because of one of its workers.
+
+    ``tasks_failed`` tells that a task ran and reported an error; only this counts
+    against the job, since a lost worker says nothing about it.
+
+    Returns
+    -------
+    bool
+        Whether the worker is newly quarantined.
+    """
+    if tasks_failed:
+        health.workers_by_job.setdefault(job_id, set()).add(worker_id)
+        if len(health.workers_by_job) > health.jobs_limit_count:
+            del health.workers_by_job[next(iter(health.workers_by_job))]
+    quarantine = health.quarantines.get(worker_id)
+    if quarantine is not None:
+        if quarantine.probe_job_id == job_id:
+            _extend_quarantine(health, quarantine, now_seconds)
+        return False
+    failures = health.failures_by_worker.setdefault(worker_id, {})
+    failures[job_id] = now_seconds
+    for other_id, failed_seconds in list(failures.items()):
+        if failed_seconds < now_seconds - health.window_seconds:
+            del failures[other_id]
+    if job_verdict(health, job_id):
+        # The job is at fault, so its failures say nothing about the workers.
+        for other_failures in health.failures_by_worker.values():
+            other_failures.pop(job_id, None)
+    if len(failures) < health.quarantine_jobs_count:
+        return False
+    del health.failures_by_worker[worker_id]
+    health.quarantines[worker_id] = Quarantine(
+        until_seconds=now_seconds + health.probe_delay_seconds,
+        delay_seconds=health.probe_delay_seconds,
+    )
+    return True
+
+
+def record_success(health, worker_ids, job_id):
+    """Record that a gang succeeded; return the workers released from quarantine."""
+    health.workers_by_job.pop(job_id, None)
+    released = []
+    for worker_id in worker_ids:
+        health.failures_by_worker.pop(worker_id, None)
+        if health.quarantines.pop(worker_id, None):
+            released.append(worker_id)
+    return released
+
+
+def start_probe(health, worker_id, job_id):
+    """Record that a job of one task runs on a quarantined worker."""
+    health.quarantines[worker_id].probe_job_id = job_id
+
+
+def end_probe(health, worker_id, job_id):
+    """Allow the next probe after one that ended with neither result."""
+    quarantine = health.quarantines.get(worker_id)
+    if quarantine is not None and quarantine.probe_job_id == job_id:
+        quarantine.probe_job_id = ""
+
+
+def probe_due(health, worker_id, *, now_seconds):
+    """Return whether a quarantined worker may get its probe."""
+    quarantine = health.quarantines.get(worker_id)
+    return (
+        quarantine is not None
+        and not quarantine.probe_job_id
+        and now_seconds >= quarantine.until_seconds
+    )
+
+
+def job_verdict(health, job_id):
+    """Return why a job is itself at fault, or an empty string.
+
+    Workers quarantined since then do not count: they fail other jobs too.
+    """
+    workers = health.workers_by_job.get(job_id, set()) - health.quarantines.keys()
+    if len(workers) < health.fail_job_workers_count:
+        return ""
+    return f"its tasks failed on {len(workers)} healthy workers: " + ", ".join(
+        sorted(workers)
+    )
+
+
+def forget_worker(health, worker_id):
+    """Forget a worker that restarted or no longer exists."""
+    health.failures_by_worker.pop(worker_id, None)
+    health.quarantines.pop(worker_id, None)
+
+
+def forget_job(health, job_id):
+    """Forget the failures of a job that ended."""
+    health.workers_by_job.pop(job_id, None)
+
+
+def _extend_quarantine(health, quarantine, now_seconds):
+    quarantine.delay_seconds = min(
+        2 * quarantine.delay_seconds, health.probe_delay_limit_seconds
+    )
+    quarantine.until_seconds = now_seconds + quarantine.delay_seconds
+    quarantine.probe_job_id = ""
--- /dev/null
+++ b/tests/test_budgets.py
@@ -0,0 +1,59 @@
+"""Retry budgets and delays."""
+
+import random
+
+from kingcuptrack.state.budgets import (
+    RetryBudgets,
+    record_success,
+    retry_delay_seconds,
+    take_retry,
+)
+
+from .support import check, function_tests
+
+load_tests = function_tests(__name__)
+
+
+def take_all(budgets, now_seconds, organisation="design", endpoints=("w1",)):
+    """Return how many retries are within the budgets at once."""
+    count = 0
+    while take_retry(
+        budgets,
+        organisation=organisation,
+        endpoints=endpoints,
+        now_seconds=now_seconds,
+    ):
+        count += 1
+    return count
+
+
+def test_budgets_are_separate_and_refill_with_time():
+    """Guards against retry storms and against budgets that never recover."""
+    budgets = RetryBudgets(limit_count=5.0, refill_per_second=0.5)
+    check.assertEqual(take_all(budgets, 0.0), 5)
+    check.assertEqual(take_all(budgets, 0.0, "sales", ("w1",)), 0)
+    check.assertEqual(take_all(budgets, 0.0, "sales", ("w2",)), 5)
+    check.assertEqual(take_all(budgets, 4.0, "design", ("w1",)), 2)
+    check.assertEqual(take_all(budgets, 1000.0), 5)
+
+
+def test_success_refills_and_full_buckets_are_forgotten():
+    """Guards against memory that grows with the endpoints ever seen."""
+    budgets = RetryBudgets(limit_count=1.0, refill_per_success=0.5)
+    check.assertEqual(take_all(budgets, 0.0), 1)
+    for _ in range(2):
+        record_success(
+            budgets, organisation="design", endpoints=("w1",), now_seconds=0.0
+        )
+    check.assertEqual(budgets.tokens, {})
+
+
+def test_delays_grow_with_jitter_up_to_a_limit():
+    """Guards against synchronised retries and against unbounded delays."""
+    source = random.Random(1)
+    for count in range(1, 60):
+        full_seconds = min(10.0, 0.1 * 2 ** (count - 1))
+        delays = [retry_delay_seconds(count, source) for _ in range(50)]
+        check.assertGreaterEqual(min(delays), full_seconds / 2)
+        check.assertLessEqual(max(delays), full_seconds)
+        check.assertGreater(len(set(delays)), 10)
--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,79 @@
+"""Quarantine of workers and verdicts on jobs."""
+
+from kingcuptrack.state.health import (
+    Health,
+    job_verdict,
+    probe_due,
+    record_failure,
+    record_success,
+    start_probe,
+)
+
+from .support import check, function_tests
+
+load_tests = function_tests(__name__)
+
+
+def fail(health, worker_id, job_id, now_seconds=0.0, tasks_failed=True):
+    """Record one failure."""
+    return record_failure(
+        health, worker_id, job_id, now_seconds=now_seconds, tasks_failed=tasks_failed
+    )
+
+
+def test_failures_of_different_jobs_quarantine_a_worker():
+    """Guards against one faulty job quarantining a worker by itself."""
+    health = Health()
+    for _ in range(5):
+        check.assertFalse(fail(health, "w1", "a"))
+    check.assertFalse(fail(health, "w1", "b"))
+    check.assertTrue(fail(health, "w1", "c"))
+
+
+def test_success_and_time_clear_failures():
+    """Guards against quarantine for failures spread over weeks."""
+    health = Health()
+    fail(health, "w1", "a")
+    fail(health, "w1", "b")
+    record_success(health, ["w1"], "d")
+    check.assertFalse(fail(health, "w1", "c"))
+    check.assertFalse(fail(health, "w1", "e", now_seconds=1.0))
+    check.assertFalse(fail(health, "w1", "f", now_seconds=700.0))
+
+
+def test_probe_returns_a_worker_or_doubles_its_delay():
+    """Guards against workers lost for good and against endless quick probes."""
+    health = Health()
+    for job_id in "abc":
+        fail(health, "w1", job_id)
+    check.assertFalse(probe_due(health, "w1", now_seconds=29.0))
+    check.assertTrue(probe_due(health, "w1", now_seconds=30.0))
+    start_probe(health, "w1", "p")
+    check.assertFalse(probe_due(health, "w1", now_seconds=31.0))
+    fail(health, "w1", "p", now_seconds=40.0)
+    check.assertFalse(probe_due(health, "w1", now_seconds=99.0))
+    check.assertTrue(probe_due(health, "w1", now_seconds=100.0))
+    start_probe(health, "w1", "q")
+    check.assertEqual(record_success(health, ["w1"], "q"), ["w1"])
+    check.assertEqual(health.quarantines, {})
+
+
+def test_job_that_fails_on_healthy_workers_is_at_fault():
+    """Guards against a faulty job retried until it has quarantined every worker."""
+    health = Health()
+    fail(health, "w1", "bad", tasks_failed=False)
+    fail(health, "w2", "bad")
+    fail(health, "w3", "bad")
+    check.assertEqual(job_verdict(health, "bad"), "")
+    fail(health, "w4", "bad")
+    check.assertIn("3 healthy workers", job_verdict(health, "bad"))
+    check.assertNotIn("bad", health.failures_by_worker["w2"])
+
+
+def test_failures_on_quarantined_workers_do_not_count_against_a_job():
+    """Guards against failing a good job that met only faulty workers."""
+    health = Health()
+    for worker_id in ("w1", "w2", "w3"):
+        for job_id in ("good", f"{worker_id}-a", f"{worker_id}-b"):
+            fail(health, worker_id, job_id)
+    check.assertEqual(job_verdict(health, "good"), "")
