Place gangs under guarantees, with reclaim and reservation

Cause: first fit honoured no guarantee, quota, adjacency or urgency. Ruled out: checking after each placement whether the unused guaranteed gangs can be packed (a bin packing for each decision, and a job smaller than its guaranteed gang would let others take the rest, after which the whole gang may fit nowhere). Change: each guaranteed gang of the share is a slot with a footprint of workers; footprints do not overlap and a guaranteed gang runs inside one. The packing is the proof of the invariant and is computed anew only when workers, shares or plans change. Borrowed gangs may use any free capacity. Two ledgers, the capacity free now and the capacity free after all ordered reclaims, keep promised capacity from being given away. Victims are the cheapest set in one worker, rack or data centre. A gang that is irreclaimable or larger takes the slot of a smaller reclaimable one of its organisation, which then borrows.

--- /dev/null
+++ b/kingcuptrack/state/cluster.py
@@ -0,0 +1,195 @@
+"""Capacity of the workers of one data centre, kept incrementally.
+
+Amounts are lists of five numbers: accelerators, cores, memory bytes, connections
+and slots. Needs of one task are tuples of ``(index, amount)`` without zeros.
+"""
+
+from collections import Counter
+from functools import lru_cache
+
+import attrs
+
+ACCELERATORS = 0
+
+
+@lru_cache(maxsize=4096)
+def task_needs(shape):
+    """Return the needs of one task of a shape, its slot included."""
+    amounts = (
+        shape.accelerators_count,
+        shape.cores_count,
+        shape.memory_bytes,
+        shape.connections_count,
+        1,
+    )
+    return tuple((index, amount) for index, amount in enumerate(amounts) if amount)
+
+
+def capacity_amounts(capacity):
+    """Return the amounts of a whole worker."""
+    return [
+        capacity.accelerators_count,
+        capacity.cores_count,
+        capacity.memory_bytes,
+        capacity.connections_count,
+        capacity.slots_count,
+    ]
+
+
+def fit_count(amounts, needs):
+    """Return how many tasks fit; zero if the amounts are overcommitted."""
+    fewest_count = None
+    for index, amount in needs:
+        count = amounts[index] // amount
+        if count <= 0:
+            return 0
+        if fewest_count is None or count < fewest_count:
+            fewest_count = count
+    return fewest_count
+
+
+@attrs.define(kw_only=True)
+class Ledger:
+    """Free amounts by worker after a set of holders has taken its tasks.
+
+    Holders on workers without an entry in ``free`` are remembered, so that a
+    worker that is forgotten and reported again has the same free amounts.
+    """
+
+    free: dict[str, list[int]] = attrs.field(factory=dict)
+    holders: dict[str, dict[str, int]] = attrs.field(factory=dict)
+    needs: dict[str, tuple] = attrs.field(factory=dict)
+    workers: dict[str, Counter] = attrs.field(factory=dict)
+
+
+def set_amounts(ledger, worker_id, amounts):
+    """Set the whole amounts of a worker; None removes it."""
+    if amounts is None:
+        ledger.free.pop(worker_id, None)
+        return
+    ledger.free[worker_id] = left = list(amounts)
+    for holder_id, count in ledger.holders.get(worker_id, {}).items():
+        for index, amount in ledger.needs[holder_id]:
+            left[index] -= amount * count
+
+
+def take(ledger, holder_id, needs, worker_ids):
+    """Take one task on each of ``worker_ids``, with repetition."""
+    counts = Counter(worker_ids)
+    ledger.needs[holder_id] = needs
+    ledger.workers[holder_id] = counts
+    for worker_id, count in counts.items():
+        ledger.holders.setdefault(worker_id, {})[holder_id] = count
+        left = ledger.free.get(worker_id)
+        if left is not None:
+            for index, amount in needs:
+                left[index] -= amount * count
+
+
+def give_back(ledger, holder_id):
+    """Free everything a holder took; return its workers, empty if it had none."""
+    counts = ledger.workers.pop(holder_id, None)
+    if counts is None:
+        return ()
+    needs = ledger.needs.pop(holder_id)
+    for worker_id, count in counts.items():
+        holders = ledger.holders[worker_id]
+        del holders[holder_id]
+        if not holders:
+            del ledger.holders[worker_id]
+        left = ledger.free.get(worker_id)
+        if left is not None:
+            for index, amount in needs:
+                left[index] += amount * count
+    return tuple(counts)
+
+
+@attrs.define(kw_only=True)
+class Cluster:
+    """Workers of one data centre.
+
+    ``now`` counts running gangs. ``planned`` counts gangs that are not being
+    reclaimed and the holds of jobs that wait for a reclaim. A task may start on a
+    worker only if it fits both, which ``available`` holds as their minimum:
+    otherwise it would take capacity that is still used or already promised.
+    ``racks`` lists the workers that accept new tasks.
+    """
+
+    workers: dict = attrs.field(factory=dict)
+    now: Ledger = attrs.field(factory=Ledger)
+    planned: Ledger = attrs.field(factory=Ledger)
+    available: dict[str, list[int]] = attrs.field(factory=dict)
+    totals: list[int] = attrs.field(factory=lambda: [0] * 5)
+    racks: dict[str, list[str]] = attrs.field(factory=dict)
+    closed: set[str] = attrs.field(factory=set)
+
+
+def put_worker(cluster, worker):
+    """Add or update a worker."""
+    drop_worker(cluster, worker.worker_id)
+    amounts = capacity_amounts(worker.capacity)
+    cluster.workers[worker.worker_id] = worker
+    cluster.totals = [a + b for a, b in zip(cluster.totals, amounts, strict=True)]
+    set_amounts(cluster.now, worker.worker_id, amounts)
+    set_amounts(cluster.planned, worker.worker_id, amounts)
+    _refresh(cluster, (worker.worker_id,))
+
+
+def drop_worker(cluster, worker_id):
+    """Forget a worker; what gangs took on it stays on record."""
+    worker = cluster.workers.pop(worker_id, None)
+    if worker is None:
+        return
+    amounts = capacity_amounts(worker.capacity)
+    cluster.totals = [a - b for a, b in zip(cluster.totals, amounts, strict=True)]
+    set_amounts(cluster.now, worker_id, None)
+    set_amounts(cluster.planned, worker_id, None)
+    cluster.available.pop(worker_id, None)
+
+
+def set_closed(cluster, closed):
+    """Rebuild the racks from the workers that are neither leaving nor closed."""
+    cluster.closed = set(closed)
+    cluster.racks = {}
+    for worker_id in sorted(cluster.workers):
+        worker = cluster.workers[worker_id]
+        if not worker.is_leaving and worker_id not in closed:
+            cluster.racks.setdefault(worker.rack, []).append(worker_id)
+
+
+def start_tasks(cluster, holder_id, needs, worker_ids):
+    """Take capacity of a gang that starts; its own hold is used up."""
+    take(cluster.now, holder_id, needs, worker_ids)
+    if holder_id not in cluster.planned.workers:
+        take(cluster.planned, holder_id, needs, worker_ids)
+    _refresh(cluster, set(worker_ids))
+
+
+def end_tasks(cluster, holder_id):
+    """Free the capacity of a gang that no longer runs."""
+    worker_ids = give_back(cluster.now, holder_id)
+    give_back(cluster.planned, holder_id)
+    _refresh(cluster, worker_ids)
+
+
+def hold_tasks(cluster, holder_id, needs, worker_ids):
+    """Promise capacity to a job that waits for victims to stop."""
+    take(cluster.planned, holder_id, needs, worker_ids)
+    _refresh(cluster, set(worker_ids))
+
+
+def release_plan(cluster, holder_id):
+    """Drop a hold, or plan without a gang that is being reclaimed."""
+    _refresh(cluster, give_back(cluster.planned, holder_id))
+
+
+def _refresh(cluster, worker_ids):
+    for worker_id in worker_ids:
+        now = cluster.now.free.get(worker_id)
+        planned = cluster.planned.free.get(worker_id)
+        if now is None:
+            continue
+        if now == planned:
+            cluster.available[worker_id] = now
+        else:
+            cluster.available[worker_id] = list(map(min, now, planned))
--- /dev/null
+++ b/kingcuptrack/state/guarantees.py
@@ -0,0 +1,402 @@
+"""Packing of guaranteed gangs: the proof that guarantees can be honoured.
+
+Each guaranteed gang of this data centre's shares is a slot with a footprint: one
+worker for each of its tasks, adjacent, on workers that accept tasks. Footprints
+never overlap, and a guaranteed gang runs inside the footprint of one slot. Any
+other gang on a footprint is borrowed and can be reclaimed. Hence every unused
+slot can be used at once, and a gang that ends leaves a slot as large as before,
+even if it was smaller than what the plan guarantees.
+"""
+
+from collections import Counter
+
+import attrs
+
+from ..findings import Finding, Place
+from .cluster import (
+    ACCELERATORS,
+    Ledger,
+    capacity_amounts,
+    fit_count,
+    give_back,
+    set_amounts,
+    take,
+    task_needs,
+)
+from .placement import best_fit_by_rack, domains, fill, natural_level
+from .plans import PLANS_FILE
+from .shares import data_centre_shares
+
+
+@attrs.frozen(kw_only=True)
+class Kind:
+    """What one guaranteed gang of a plan consists of."""
+
+    tasks_count: int
+    needs: tuple
+
+    @property
+    def accelerators_count(self):
+        """Accelerators of the whole gang."""
+        return self.tasks_count * dict(self.needs).get(ACCELERATORS, 0)
+
+
+@attrs.define(kw_only=True)
+class Slot:
+    """One guaranteed gang; an empty footprint means that it fits nowhere.
+
+    ``is_partial`` marks the slot of a running gang whose footprint covers only
+    the tasks of that gang, ``is_surplus`` one beyond the share whose gang cannot
+    be reclaimed; both are packed again when the gang ends.
+    """
+
+    slot_id: str
+    organisation: str
+    kind: Kind
+    worker_ids: tuple[str, ...] = ()
+    job_id: str = ""
+    is_partial: bool = False
+    is_surplus: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Shortfall:
+    """Guaranteed gangs of an organisation that fit nowhere in this data centre."""
+
+    organisation: str
+    gangs_count: int
+    accelerators_count: int
+
+
+@attrs.define(kw_only=True)
+class Packing:
+    """Slots of one data centre; ``room`` is what no footprint covers."""
+
+    room: Ledger = attrs.field(factory=Ledger)
+    slots: dict[str, list[Slot]] = attrs.field(factory=dict)
+    slot_by_job: dict[str, Slot] = attrs.field(factory=dict)
+    sequence: int = 0
+
+
+def plan_kind(plan):
+    """Return the kind of guaranteed gang of a plan."""
+    return Kind(
+        tasks_count=plan.guaranteed_tasks_count, needs=task_needs(plan.guaranteed_shape)
+    )
+
+
+def is_within_guarantee(plan, spec):
+    """Return whether a gang is no larger than a guaranteed one in any respect."""
+    limit = dict(task_needs(plan.guaranteed_shape))
+    return (
+        plan.guaranteed_gangs_count > 0
+        and spec.tasks_count <= plan.guaranteed_tasks_count
+        and all(
+            amount <= limit.get(index, 0) for index, amount in task_needs(spec.shape)
+        )
+    )
+
+
+def unused_slots(packing, organisation):
+    """Return the slots of an organisation that have a footprint and no gang."""
+    return [
+        slot
+        for slot in packing.slots.get(organisation, ())
+        if slot.worker_ids and not slot.job_id
+    ]
+
+
+def bind_slot(packing, slot, job_id):
+    """Assign a slot to a gang."""
+    slot.job_id = job_id
+    packing.slot_by_job[job_id] = slot
+
+
+def unbind_slot(packing, job_id):
+    """Return the slot of a gang that ended to its organisation, or None."""
+    slot = packing.slot_by_job.pop(job_id, None)
+    if slot is not None:
+        slot.job_id = ""
+    return slot
+
+
+def move_slot(packing, slot, worker_ids):
+    """Give a slot another footprint."""
+    give_back(packing.room, slot.slot_id)
+    slot.worker_ids = worker_ids
+    if worker_ids:
+        take(packing.room, slot.slot_id, slot.kind.needs, worker_ids)
+
+
+def swap_slots(packing, slot, other):
+    """Exchange the footprints of two slots of the same kind."""
+    footprint, other_footprint = slot.worker_ids, other.worker_ids
+    move_slot(packing, slot, ())
+    move_slot(packing, other, footprint)
+    move_slot(packing, slot, other_footprint)
+
+
+def shortfalls(packing):
+    """Return the guarantees that do not fit, by organisation."""
+    found = []
+    for organisation, slots in sorted(packing.slots.items()):
+        missing = [slot for slot in slots if not slot.worker_ids]
+        if missing:
+            found.append(
+                Shortfall(
+                    organisation=organisation,
+                    gangs_count=len(missing),
+                    accelerators_count=sum(
+                        slot.kind.accelerators_count for slot in missing
+                    ),
+                )
+            )
+    return found
+
+
+def repack(packing, racks, capacities, shares, kinds, level_of, gangs):
+    """Fit the slots to changed workers, shares or plans.
+
+    Footprints that are still valid stay where they are. The others are placed by
+    best fit, largest first; if one finds no place, all unused slots are placed
+    anew.
+
+    Parameters
+    ----------
+    racks : dict of str to list of str
+        Workers that accept tasks.
+    capacities : dict of str to list of int
+        Whole amounts by worker.
+    shares : dict of str to int
+        Guaranteed gangs by organisation.
+    kinds : dict of str to Kind
+    level_of : callable
+        Adjacency that a `Kind` needs.
+    gangs : dict of str to tuple
+        ``(organisation, needs, worker ids, can be reclaimed)`` of each guaranteed
+        gang and hold, by job id.
+
+    Returns
+    -------
+    list of str
+        Jobs whose gang exceeds the shares and is borrowed from now on.
+    """
+    previous = {}
+    for slots in packing.slots.values():
+        for slot in slots:
+            previous.setdefault((slot.organisation, slot.kind), []).append(slot)
+    bound_before = dict(packing.slot_by_job)
+    packing.slots = {organisation: [] for organisation in shares}
+    packing.slot_by_job = {}
+    packing.room = Ledger()
+    for worker_ids in racks.values():
+        for worker_id in worker_ids:
+            set_amounts(packing.room, worker_id, capacities[worker_id])
+    demoted = []
+    for job_id, gang in gangs.items():
+        if not _bind_running(packing, bound_before, shares, kinds, job_id, gang):
+            demoted.append(job_id)
+    for slot in packing.slot_by_job.values():
+        if slot.is_partial and slot.organisation in kinds:
+            _widen_slot(packing, racks, level_of, kinds[slot.organisation], slot)
+    homeless = []
+    for organisation, share in shares.items():
+        kind = kinds[organisation]
+        footprints = [
+            slot.worker_ids
+            for slot in previous.get((organisation, kind), ())
+            if not slot.is_partial
+        ]
+        for _ in range(share - len(packing.slots[organisation])):
+            slot = _add_slot(packing, organisation, kind)
+            while footprints and not slot.worker_ids:
+                _try_footprint(packing, slot, footprints.pop())
+            if not slot.worker_ids:
+                homeless.append(slot)
+    if not _place_slots(packing, racks, level_of, homeless):
+        _place_anew(packing, racks, level_of)
+    return demoted
+
+
+def packing_findings(configuration, workers, data_centres):
+    """Check that the guarantees fit the workers.
+
+    Returns
+    -------
+    list of Finding
+        An error if they do not fit with all data centres in service, a warning
+        for each data centre without which they would not.
+    """
+    findings = []
+    out = configuration.data_centres_out
+    for left in (None, *sorted(set(data_centres) - out)):
+        changed = attrs.evolve(
+            configuration, data_centres_out=out | ({left} if left else set())
+        )
+        for missing, data_centre in _missing_in(changed, workers, data_centres):
+            name = configuration.plan_by_organisation[missing.organisation]
+            message = (
+                f"{missing.gangs_count} guaranteed gangs of organisation "
+                f"{missing.organisation} do not fit data centre {data_centre}"
+            )
+            if left:
+                message += f" while {left} is out of service"
+            place = Place(
+                file=PLANS_FILE,
+                section=f"plan {name}",
+                key="guaranteed_gangs_count",
+            )
+            findings.append(
+                Finding(place=place, message=message, is_warning=bool(left))
+            )
+        if findings and not left:
+            break
+    return findings
+
+
+def _missing_in(configuration, workers, data_centres):
+    kinds = {
+        organisation: plan_kind(configuration.plans[name])
+        for organisation, name in configuration.plan_by_organisation.items()
+    }
+    for data_centre in sorted(set(data_centres) - configuration.data_centres_out):
+        shares = data_centre_shares(configuration, data_centres, data_centre)
+        local = [item for item in workers if item.data_centre == data_centre]
+        capacities = {
+            worker.worker_id: capacity_amounts(worker.capacity) for worker in local
+        }
+        racks = {}
+        for worker in local:
+            racks.setdefault(worker.rack, []).append(worker.worker_id)
+
+        def level_of(kind, local=local, capacities=capacities):
+            return natural_level(local, capacities, kind.needs, kind.tasks_count)
+
+        packing = Packing()
+        repack(packing, racks, capacities, shares, kinds, level_of, {})
+        for missing in shortfalls(packing):
+            yield missing, data_centre
+
+
+def _add_slot(packing, organisation, kind):
+    packing.sequence += 1
+    slot = Slot(
+        slot_id=f"slot-{packing.sequence}", organisation=organisation, kind=kind
+    )
+    packing.slots.setdefault(organisation, []).append(slot)
+    return slot
+
+
+def _bind_running(packing, bound_before, shares, kinds, job_id, gang):
+    organisation, needs, worker_ids, can_be_reclaimed = gang
+    is_in_share = len(packing.slots.get(organisation, ())) < shares.get(organisation, 0)
+    if not is_in_share and can_be_reclaimed:
+        return False
+    before = bound_before.get(job_id)
+    kind = kinds.get(organisation)
+    is_whole = (
+        is_in_share
+        and before is not None
+        and before.kind == kind
+        and not before.is_partial
+    )
+    if is_whole:
+        slot = _add_slot(packing, organisation, kind)
+        bind_slot(packing, slot, job_id)
+        if _try_footprint(packing, slot, before.worker_ids):
+            return True
+    else:
+        slot = _add_slot(packing, organisation, kind)
+        bind_slot(packing, slot, job_id)
+    # The gang keeps what it uses; the rest of the slot has no valid footprint now.
+    slot.kind = Kind(tasks_count=len(worker_ids), needs=needs)
+    slot.is_partial = True
+    slot.is_surplus = not is_in_share
+    move_slot(packing, slot, worker_ids)
+    return True
+
+
+def _widen_slot(packing, racks, level_of, kind, slot):
+    """Extend the footprint of a running gang to a whole guaranteed gang."""
+    partial, partial_kind = slot.worker_ids, slot.kind
+    if len(partial) > kind.tasks_count or slot.is_surplus:
+        return
+    move_slot(packing, slot, ())
+    level = level_of(kind)
+    for worker_ids in domains(racks, level):
+        if not set(partial) <= set(worker_ids):
+            continue
+        tasks = Counter(partial)
+        counts = [
+            (item, fit_count(packing.room.free[item], kind.needs) - tasks[item])
+            for item in worker_ids
+        ]
+        if min(count for _, count in counts) < 0:
+            continue
+        counts.sort(key=lambda item: -item[1])
+        extra = fill(counts, kind.tasks_count - len(partial))
+        slot.kind = kind
+        if len(partial) + len(extra) == kind.tasks_count and _try_footprint(
+            packing, slot, partial + extra
+        ):
+            slot.is_partial = False
+            return
+    slot.kind = partial_kind
+    move_slot(packing, slot, partial)
+
+
+def _try_footprint(packing, slot, worker_ids):
+    room = packing.room
+    if any(worker_id not in room.free for worker_id in worker_ids):
+        return False
+    move_slot(packing, slot, worker_ids)
+    if any(min(room.free[worker_id]) < 0 for worker_id in Counter(worker_ids)):
+        move_slot(packing, slot, ())
+        return False
+    return True
+
+
+def _place_slots(packing, racks, level_of, slots):
+    """Place slots, largest first; return whether all found a place."""
+    is_complete = True
+    failed = set()
+    order = sorted(
+        slots, key=lambda slot: (-level_of(slot.kind), -slot.kind.accelerators_count)
+    )
+    for slot in order:
+        kind = slot.kind
+        worker_ids = None
+        if kind not in failed:
+            worker_ids = best_fit_by_rack(
+                racks,
+                packing.room.free,
+                kind.needs,
+                kind.tasks_count,
+                (level_of(kind),),
+            )
+        if worker_ids is None:
+            failed.add(kind)
+            is_complete = False
+        else:
+            move_slot(packing, slot, worker_ids)
+    return is_complete
+
+
+def _place_anew(packing, racks, level_of):
+    slots = [
+        slot for slots in packing.slots.values() for slot in slots if not slot.job_id
+    ]
+    before = {slot.slot_id: slot.worker_ids for slot in slots}
+    missing_before = sum(
+        slot.kind.accelerators_count for slot in slots if not slot.worker_ids
+    )
+    for slot in slots:
+        move_slot(packing, slot, ())
+    _place_slots(packing, racks, level_of, slots)
+    missing = sum(slot.kind.accelerators_count for slot in slots if not slot.worker_ids)
+    if missing < missing_before:
+        return
+    for slot in slots:
+        move_slot(packing, slot, ())
+    for slot in slots:
+        move_slot(packing, slot, before[slot.slot_id])
--- /dev/null
+++ b/kingcuptrack/state/placement.py
@@ -0,0 +1,173 @@
+"""Choice of workers for the tasks of a gang.
+
+Accelerators are adjacent on one worker, else in one rack, else in one data
+centre. A placement function takes ``(racks, free, needs, tasks_count, levels)``
+and returns the worker id of each task, or None if the gang does not fit.
+"""
+
+from enum import IntEnum
+
+from .cluster import ACCELERATORS, fit_count
+
+
+class Level(IntEnum):
+    """Adjacency, tightest first."""
+
+    WORKER = 0
+    RACK = 1
+    DATA_CENTRE = 2
+
+
+def domains(racks, level):
+    """Return the lists of workers whose accelerators are adjacent at a level."""
+    if level == Level.WORKER:
+        return [[worker_id] for ids in racks.values() for worker_id in ids]
+    if level == Level.RACK:
+        return list(racks.values())
+    return [[worker_id for ids in racks.values() for worker_id in ids]]
+
+
+def natural_level(workers, capacities, needs, tasks_count):
+    """Return the tightest level at which a gang fits the empty workers."""
+    totals = {}
+    level = Level.DATA_CENTRE
+    for worker in workers:
+        count = fit_count(capacities[worker.worker_id], needs)
+        if count >= tasks_count:
+            return Level.WORKER
+        totals[worker.rack] = totals.get(worker.rack, 0) + count
+        if totals[worker.rack] >= tasks_count:
+            level = Level.RACK
+    return level
+
+
+def make_placement(score, order):
+    """Return a placement function.
+
+    Parameters
+    ----------
+    score : callable
+        ``score(free, worker_ids, fit_count)`` of a domain that fits; lowest wins.
+    order : callable
+        ``order(counts)`` of ``(worker id, fit count)`` pairs in one domain; tasks
+        go to the first workers.
+    """
+
+    def place(racks, free, needs, tasks_count, levels):
+        for level in levels:
+            if level == Level.DATA_CENTRE:
+                return _place_across(racks, free, needs, tasks_count)
+            best = None
+            for worker_ids in domains(racks, level):
+                total = 0
+                for worker_id in worker_ids:
+                    total += fit_count(free[worker_id], needs)
+                if total >= tasks_count:
+                    key = score(free, worker_ids, total)
+                    if best is None or key < best[0]:
+                        best = (key, worker_ids)
+            if best is not None:
+                counts = _counts(best[1], free, needs)
+                return fill(order(counts), tasks_count)
+        return None
+
+    def _place_across(racks, free, needs, tasks_count):
+        by_rack = []
+        for worker_ids in racks.values():
+            counts = _counts(worker_ids, free, needs)
+            total = sum(count for _, count in counts)
+            if total:
+                by_rack.append((total, counts))
+        if sum(total for total, _ in by_rack) < tasks_count:
+            return None
+        # Few racks: take the largest racks whole, then the tightest that suffices.
+        by_rack.sort(key=lambda item: -item[0])
+        chosen = []
+        while by_rack:
+            remaining = tasks_count - len(chosen)
+            index = 0
+            for position, (total, _) in enumerate(by_rack):
+                if total >= remaining:
+                    index = position
+            total, counts = by_rack.pop(index)
+            chosen += fill(order(counts), min(total, remaining))
+            if len(chosen) == tasks_count:
+                break
+        return tuple(chosen)
+
+    return place
+
+
+def fill(counts, tasks_count):
+    """Return worker ids for the tasks, taking the workers in the given order."""
+    chosen = []
+    for worker_id, count in counts:
+        chosen += [worker_id] * min(count, tasks_count - len(chosen))
+        if len(chosen) == tasks_count:
+            break
+    return tuple(chosen)
+
+
+def _counts(worker_ids, free, needs):
+    counts = [
+        (worker_id, fit_count(free[worker_id], needs)) for worker_id in worker_ids
+    ]
+    return [item for item in counts if item[1]]
+
+
+def _tightest(free, worker_ids, total):
+    amounts = [free[worker_id] for worker_id in worker_ids]
+    return (total, sum(item[ACCELERATORS] for item in amounts), amounts[0][1])
+
+
+def _fullest_first(counts):
+    return sorted(counts, key=lambda item: item[1])
+
+
+best_fit_by_rack = make_placement(_tightest, _fullest_first)
+first_fit = make_placement(lambda free, worker_ids, total: 0, lambda counts: counts)
+
+
+def make_random_fit(random_source):
+    """Return a placement at random among the domains that fit."""
+
+    def score(free, worker_ids, total):
+        return random_source.random()
+
+    def order(counts):
+        random_source.shuffle(counts)
+        return counts
+
+    return make_placement(score, order)
+
+
+def largest_placeable_count(racks, free, capacities):
+    """Return the accelerators of the largest adjacent gang that still fits.
+
+    The gang consists of tasks that each take all accelerators of a worker, within
+    one rack; without a wholly free worker it is the largest task on one worker.
+    """
+    largest_count = 0
+    for worker_ids in racks.values():
+        whole_count = 0
+        for worker_id in worker_ids:
+            count = free[worker_id][ACCELERATORS]
+            largest_count = max(largest_count, count)
+            if count == capacities[worker_id][ACCELERATORS]:
+                whole_count += count
+        largest_count = max(largest_count, whole_count)
+    return largest_count
+
+
+def unfragmented_ratio(racks, free, capacities):
+    """Return the largest placeable gang per free accelerator, 1.0 if none is free.
+
+    The ratio falls as free accelerators scatter. It is below one in an empty data
+    centre of several racks, so compare it only between policies on one trace.
+    """
+    free_count = sum(
+        free[worker_id][ACCELERATORS] for ids in racks.values() for worker_id in ids
+    )
+    if free_count == 0:
+        return 1.0
+    return largest_placeable_count(racks, free, capacities) / free_count
--- /dev/null
+++ b/kingcuptrack/state/slots.py
@@ -0,0 +1,112 @@
+"""Choice of the slot, footprint and workers of a guaranteed gang."""
+
+import attrs
+
+from .cluster import fit_count
+from .guarantees import Slot, move_slot, swap_slots
+from .placement import domains, fill
+from .reclaim import Target, target_in_domain
+
+# Footprints of slots compared for one gang; bounds the cost of a decision.
+SLOTS_LIMIT_COUNT = 16
+
+
+@attrs.frozen(kw_only=True)
+class SlotChoice:
+    """A slot for a gang, and how its footprint changes first.
+
+    With ``other`` the footprints are exchanged; else ``worker_ids`` replace it.
+    """
+
+    slot: Slot
+    target: Target
+    other: Slot | None = None
+    worker_ids: tuple[str, ...] = ()
+
+
+def choose_slot(packing, cluster, slots, needs, tasks_count, cost_of, level, excluded):
+    """Return the cheapest way to run a gang in one of its unused slots, or None.
+
+    Compares the footprints of these slots, those of unused slots of the same kind
+    of other organisations, which can be exchanged, and new footprints in room
+    that no slot covers.
+    """
+    own = slots[:SLOTS_LIMIT_COUNT]
+    slot = own[0]
+    best = None
+    for candidate in own + _exchangeable(packing, slot, SLOTS_LIMIT_COUNT - len(own)):
+        is_own = candidate.organisation == slot.organisation
+        target = _target_on(
+            cluster, candidate.worker_ids, needs, tasks_count, cost_of, excluded, best
+        )
+        if target is not None:
+            best = SlotChoice(
+                slot=candidate if is_own else slot,
+                other=None if is_own else candidate,
+                target=target,
+            )
+            if target.is_ready:
+                return best
+    footprint = slot.worker_ids
+    move_slot(packing, slot, ())
+    for worker_ids in _new_footprints(packing, cluster, slot.kind, level):
+        target = _target_on(
+            cluster, worker_ids, needs, tasks_count, cost_of, excluded, best
+        )
+        if target is not None:
+            best = SlotChoice(slot=slot, worker_ids=worker_ids, target=target)
+            if target.is_ready:
+                break
+    move_slot(packing, slot, footprint)
+    return best
+
+
+def apply_slot_choice(packing, choice):
+    """Give the chosen slot its footprint."""
+    if choice.other is not None:
+        swap_slots(packing, choice.slot, choice.other)
+    elif choice.worker_ids:
+        move_slot(packing, choice.slot, choice.worker_ids)
+
+
+def _target_on(cluster, footprint, needs, tasks_count, cost_of, excluded, best):
+    limits = {}
+    for worker_id in footprint:
+        if worker_id not in excluded:
+            limits[worker_id] = limits.get(worker_id, 0) + 1
+    target = target_in_domain(
+        cluster, list(limits), needs, tasks_count, cost_of, limits=limits
+    )
+    if target is None or best is None:
+        return target
+    key = (not target.is_ready, target.cost)
+    return target if key < (not best.target.is_ready, best.target.cost) else None
+
+
+def _exchangeable(packing, slot, limit_count):
+    found = []
+    for organisation, slots in packing.slots.items():
+        if organisation == slot.organisation:
+            continue
+        for other in slots:
+            if len(found) >= limit_count:
+                return found
+            if other.worker_ids and not other.job_id and other.kind == slot.kind:
+                found.append(other)
+    return found
+
+
+def _new_footprints(packing, cluster, kind, level):
+    room = packing.room.free
+    for worker_ids in domains(cluster.racks, level):
+        counts = [(item, fit_count(room[item], kind.needs)) for item in worker_ids]
+        if sum(count for _, count in counts) < kind.tasks_count:
+            continue
+        # Workers with the most capacity left come first: fewest gangs to stop.
+        counts = [
+            (fit_count(cluster.planned.free[item], kind.needs), item, count)
+            for item, count in counts
+            if count
+        ]
+        counts.sort(key=lambda entry: -entry[0])
+        yield fill([(item, count) for _, item, count in counts], kind.tasks_count)
