Split the scheduler by concern

Ruled out: modules that import the interface module, which would be circular. Change: model (state), limits, reasons, commitments, guaranteed and borrowed hold the parts; scheduling.py keeps the interface and re-exports its types. The arguments of one call of decide are one object.

--- /dev/null
+++ b/kingcuptrack/state/borrowed.py
@@ -0,0 +1,193 @@
+"""Placement of gangs on borrowed capacity."""
+
+from . import health as health_module
+from .cluster import ACCELERATORS, fit_count, task_needs
+from .commitments import excluded_worker_ids, hold_capacity, reclaim_cost, start_gang
+from .jobs import Urgency
+from .limits import fitting_tasks_count, quota_excess, refusal
+from .model import Use, adjacency_level, is_reclaimable, plan_of, whole_capacities
+from .placement import Level
+from .queues import find_job
+from .reasons import quota_reason, reservation_reason
+from .reclaim import cheapest_target
+from .reservations import make_reservation, reservation_target
+
+
+def attempt_borrowed(scheduler, round_, job, plan):
+    """Start a job on free capacity, or reclaim for it if it is urgent.
+
+    Returns
+    -------
+    bool
+        Whether the job left its queue.
+    """
+    spec = job.spec
+    job_id = job.job_id
+    if not is_reclaimable(spec):
+        return False
+    use = scheduler.use.get(spec.organisation) or Use()
+    used_count = max(use.now[ACCELERATORS], use.planned[ACCELERATORS])
+    used_count += scheduler.remote_use.get(spec.organisation, 0)
+    if quota_excess(spec, plan, used_count) > 0:
+        scheduler.reasons[job_id] = quota_reason(scheduler, spec, plan)
+        return False
+    needs = task_needs(spec.shape)
+    if spec.tasks_count > fitting_tasks_count(scheduler, needs):
+        scheduler.reasons[job_id] = refusal(scheduler, spec).message
+        return False
+    is_urgent = spec.urgency == Urgency.URGENT
+    worker_ids = _find_free(scheduler, round_, job, needs)
+    if worker_ids is not None:
+        reason = f"free capacity, borrowed by organisation {spec.organisation}"
+        start_gang(scheduler, round_, job, worker_ids, False, reason)
+        return True
+    if is_urgent and _reclaim_for_urgent(scheduler, round_, job, needs):
+        return True
+    scheduler.reasons[job_id] = (
+        f"no room for {spec.tasks_count} tasks of its shape in the free capacity"
+    )
+    if is_urgent:
+        scheduler.reasons[job_id] += " and in what patient borrowed gangs use"
+    elif (
+        scheduler.reservation is None
+        and round_.now_seconds - job.queued_seconds
+        >= scheduler.reservation_after_seconds
+    ):
+        round_.attempts_left_count -= 1
+        scheduler.reservation = make_reservation(
+            scheduler.cluster,
+            job_id,
+            needs,
+            spec.tasks_count,
+            adjacency_level(scheduler, needs, spec.tasks_count),
+            whole_capacities(scheduler),
+        )
+    if scheduler.reservation is not None and scheduler.reservation.job_id == job_id:
+        scheduler.reasons[job_id] = reservation_reason(scheduler)
+    return False
+
+
+def _find_free(scheduler, round_, job, needs):
+    """Return workers with room for a borrowed gang now, or None."""
+    spec = job.spec
+    cluster = scheduler.cluster
+    # Only the smallest gang that failed is kept: a larger one fails as well.
+    if spec.tasks_count >= scheduler.unfit.get(needs, spec.tasks_count + 1):
+        if spec.tasks_count > 1:
+            return None
+        return _find_probe(scheduler, round_, job, needs)
+    round_.attempts_left_count -= 1
+    excluded = excluded_worker_ids(scheduler, job.job_id, round_.now_seconds)
+    if spec.urgency == Urgency.PATIENT:
+        probe = _find_probe(scheduler, round_, job, needs)
+        if probe is not None:
+            return probe
+    avoided = excluded
+    if spec.urgency == Urgency.URGENT and scheduler.reservation is not None:
+        avoided = excluded | set(scheduler.reservation.worker_ids)
+    levels = tuple(Level)[adjacency_level(scheduler, needs, spec.tasks_count) :]
+    for skipped in (avoided, excluded) if avoided != excluded else (excluded,):
+        racks = cluster.racks
+        if skipped:
+            racks = {
+                rack: [item for item in ids if item not in skipped]
+                for rack, ids in racks.items()
+            }
+        worker_ids = scheduler.place(
+            racks, cluster.available, needs, spec.tasks_count, levels
+        )
+        if worker_ids is not None:
+            return worker_ids
+    if not excluded:
+        scheduler.unfit[needs] = spec.tasks_count
+    return _find_probe(scheduler, round_, job, needs)
+
+
+def _find_probe(scheduler, round_, job, needs):
+    """Return a quarantined worker due for a probe with this job, or None."""
+    if job.spec.tasks_count != 1 or not job.spec.is_repeatable:
+        return None
+    excluded = excluded_worker_ids(scheduler, job.job_id, round_.now_seconds)
+    for worker_id in scheduler.health.quarantines:
+        worker = scheduler.cluster.workers.get(worker_id)
+        if (
+            worker is not None
+            and not worker.is_leaving
+            and worker_id not in excluded
+            and health_module.probe_due(
+                scheduler.health, worker_id, now_seconds=round_.now_seconds
+            )
+            and fit_count(scheduler.cluster.available[worker_id], needs)
+        ):
+            return (worker_id,)
+    return None
+
+
+def _reclaim_for_urgent(scheduler, round_, job, needs):
+    """Stop the cheapest patient borrowed gangs; return whether that suffices."""
+    spec = job.spec
+    if spec.tasks_count >= scheduler.unreclaimable.get(needs, spec.tasks_count + 1):
+        return False
+    round_.attempts_left_count -= 1
+    excluded = excluded_worker_ids(scheduler, job.job_id, round_.now_seconds)
+    racks = {
+        rack: [item for item in ids if item not in excluded]
+        for rack, ids in scheduler.cluster.racks.items()
+    }
+    target = cheapest_target(
+        scheduler.cluster,
+        racks,
+        tuple(Level)[adjacency_level(scheduler, needs, spec.tasks_count) :],
+        needs,
+        spec.tasks_count,
+        lambda holder_id: reclaim_cost(
+            scheduler, holder_id, round_.now_seconds, is_patient_only=True
+        ),
+    )
+    if target is None:
+        if not excluded:
+            scheduler.unreclaimable[needs] = spec.tasks_count
+        return False
+    reason = f"urgent job of organisation {spec.organisation}"
+    victims = set(target.victim_ids)
+    hold_capacity(scheduler, round_, job, target.worker_ids, False, reason, victims)
+    return True
+
+
+def follow_reservation(scheduler, round_):
+    """Start the job of the advance reservation if only backfill is in its way."""
+    reservation = scheduler.reservation
+    if reservation is None:
+        return
+    job = find_job(scheduler.queues, reservation.job_id)
+    plan = None if job is None else plan_of(scheduler, job.spec.organisation)
+    if plan is None:
+        scheduler.reservation = None
+        return
+    use = scheduler.use.get(job.spec.organisation) or Use()
+    used_count = max(use.now[ACCELERATORS], use.planned[ACCELERATORS])
+    used_count += scheduler.remote_use.get(job.spec.organisation, 0)
+    if quota_excess(job.spec, plan, used_count) > 0:
+        scheduler.reservation = None
+        return
+
+    def cost_of(holder_id):
+        if holder_id not in reservation.backfill_job_ids:
+            return None
+        return reclaim_cost(scheduler, holder_id, round_.now_seconds)
+
+    target = reservation_target(
+        reservation,
+        scheduler.cluster,
+        task_needs(job.spec.shape),
+        job.spec.tasks_count,
+        cost_of,
+    )
+    if target is None:
+        return
+    reason = f"advance reservation of organisation {job.spec.organisation}"
+    if target.is_ready:
+        start_gang(scheduler, round_, job, target.worker_ids, False, reason)
+    else:
+        victims = set(target.victim_ids)
+        hold_capacity(scheduler, round_, job, target.worker_ids, False, reason, victims)
--- /dev/null
+++ b/kingcuptrack/state/commitments.py
@@ -0,0 +1,199 @@
+"""Commitments of capacity: running gangs, holds and ordered reclaims."""
+
+import attrs
+
+from . import health as health_module
+from .cluster import ACCELERATORS, hold_tasks, release_plan, start_tasks, task_needs
+from .guarantees import unbind_slot
+from .jobs import Urgency
+from .limits import access_of, quota_excess
+from .model import Hold, PlacedGang, ReclaimGang, StartGang, Use, plan_of
+from .queues import drop_job, push_job
+from .reclaim import gang_cost
+
+
+def enqueue_job(scheduler, job):
+    """Queue a job for the capacity that it may use now."""
+    push_job(scheduler.queues, job, access_of(scheduler, job.spec))
+
+
+def change_use(scheduler, spec, *, now=0, planned=0):
+    """Add or remove the use of one gang of an organisation."""
+    use = scheduler.use.get(spec.organisation)
+    if use is None:
+        use = scheduler.use[spec.organisation] = Use()
+    for index, amount in task_needs(spec.shape):
+        use.now[index] += now * amount * spec.tasks_count
+        use.planned[index] += planned * amount * spec.tasks_count
+
+
+def occupy_workers(scheduler, gang):
+    """Record a running gang; a hold of the same job is used up."""
+    job_id = gang.job.job_id
+    spec = gang.job.spec
+    scheduler.gangs[job_id] = gang
+    scheduler.unreclaimable.clear()
+    is_held = scheduler.holds.pop(job_id, None) is not None
+    start_tasks(scheduler.cluster, job_id, task_needs(spec.shape), gang.worker_ids)
+    change_use(scheduler, spec, now=1, planned=0 if is_held else 1)
+
+
+def demote_gang(scheduler, job_id):
+    """Make a guaranteed gang a borrowed one."""
+    unbind_slot(scheduler.packing, job_id)
+    scheduler.gangs[job_id] = attrs.evolve(scheduler.gangs[job_id], is_guaranteed=False)
+
+
+def start_gang(scheduler, round_, job, worker_ids, is_guaranteed, reason):
+    """Decide to start a gang on these workers."""
+    gang = PlacedGang(
+        job=job,
+        worker_ids=worker_ids,
+        is_guaranteed=is_guaranteed,
+        placed_seconds=round_.now_seconds,
+    )
+    drop_job(scheduler.queues, job.job_id)
+    occupy_workers(scheduler, gang)
+    scheduler.reasons.pop(job.job_id, None)
+    for worker_id in worker_ids:
+        if worker_id in scheduler.health.quarantines:
+            health_module.start_probe(scheduler.health, worker_id, job.job_id)
+    reservation = scheduler.reservation
+    if reservation is not None:
+        if reservation.job_id == job.job_id:
+            scheduler.reservation = None
+        elif not set(worker_ids).isdisjoint(reservation.worker_ids):
+            if is_guaranteed:
+                # A guaranteed gang cannot be reclaimed: reserve other workers.
+                scheduler.reservation = None
+            elif job.spec.urgency == Urgency.PATIENT:
+                reservation.backfill_job_ids.add(job.job_id)
+    round_.decisions.append(StartGang(gang=gang, reason=reason))
+
+
+def hold_capacity(
+    scheduler, round_, job, worker_ids, is_guaranteed, reason, victim_ids
+):
+    """Order the victims to stop and promise their capacity to a job."""
+    for victim_id in sorted(victim_ids):
+        if victim_id in scheduler.holds:
+            requeue_hold(scheduler, victim_id)
+            continue
+        scheduler.reclaiming[victim_id] = job.job_id
+        release_plan(scheduler.cluster, victim_id)
+        scheduler.unfit.clear()
+        change_use(scheduler, scheduler.gangs[victim_id].job.spec, planned=-1)
+        round_.decisions.append(
+            ReclaimGang(job_id=victim_id, for_job_id=job.job_id, reason=reason)
+        )
+    drop_job(scheduler.queues, job.job_id)
+    scheduler.unreclaimable.clear()
+    scheduler.holds[job.job_id] = Hold(
+        job=job, worker_ids=worker_ids, is_guaranteed=is_guaranteed, reason=reason
+    )
+    hold_tasks(scheduler.cluster, job.job_id, task_needs(job.spec.shape), worker_ids)
+    change_use(scheduler, job.spec, planned=1)
+    scheduler.reasons.pop(job.job_id, None)
+    reservation = scheduler.reservation
+    if reservation is not None and (
+        reservation.job_id == job.job_id
+        or is_guaranteed
+        and not set(worker_ids).isdisjoint(reservation.worker_ids)
+    ):
+        scheduler.reservation = None
+
+
+def drop_hold(scheduler, job_id):
+    """Withdraw the promise of capacity to a job; return the hold."""
+    hold = scheduler.holds.pop(job_id)
+    release_plan(scheduler.cluster, job_id)
+    change_use(scheduler, hold.job.spec, planned=-1)
+    scheduler.unfit.clear()
+    scheduler.unreclaimable.clear()
+    unbind_slot(scheduler.packing, job_id)
+    return hold
+
+
+def requeue_hold(scheduler, job_id):
+    """Withdraw the promise of capacity to a job and queue it by its age."""
+    enqueue_job(scheduler, drop_hold(scheduler, job_id).job)
+
+
+def start_held_gangs(scheduler, round_):
+    """Start the jobs whose promised capacity is free by now.
+
+    Freed capacity goes to holds in order of priority: a lower one may not use what
+    a higher one on the same worker still waits for.
+    """
+    blocked = {}
+    free = scheduler.cluster.now.free
+    order = sorted(
+        scheduler.holds.values(),
+        key=lambda hold: (
+            not hold.is_guaranteed,
+            hold.job.spec.urgency != Urgency.URGENT,
+            hold.job.queued_seconds,
+        ),
+    )
+    for hold in order:
+        spec = hold.job.spec
+        needed = {}
+        for worker_id in hold.worker_ids:
+            amounts = needed.setdefault(worker_id, [0] * 5)
+            for index, amount in task_needs(spec.shape):
+                amounts[index] += amount
+        plan = plan_of(scheduler, spec.organisation)
+        use = scheduler.use[spec.organisation]
+        is_ready = quota_excess(spec, plan, use.now[ACCELERATORS]) <= 0
+        for worker_id, amounts in needed.items():
+            taken = blocked.get(worker_id, (0,) * 5)
+            is_ready = is_ready and all(
+                left >= amount + other
+                for left, amount, other in zip(
+                    free[worker_id], amounts, taken, strict=True
+                )
+                if amount
+            )
+        if is_ready:
+            start_gang(
+                scheduler,
+                round_,
+                hold.job,
+                hold.worker_ids,
+                hold.is_guaranteed,
+                hold.reason,
+            )
+            continue
+        for worker_id, amounts in needed.items():
+            taken = blocked.setdefault(worker_id, [0] * 5)
+            for index, amount in enumerate(amounts):
+                taken[index] += amount
+
+
+def reclaim_cost(
+    scheduler, holder_id, now_seconds, *, is_patient_only=False, demoted_id=""
+):
+    """Return the cost of stopping a borrowed gang or dropping a hold, or None."""
+    hold = scheduler.holds.get(holder_id)
+    item = hold or scheduler.gangs[holder_id]
+    is_guaranteed = item.is_guaranteed and holder_id != demoted_id
+    if is_guaranteed or holder_id in scheduler.reclaiming:
+        return None
+    if is_patient_only and item.job.spec.urgency != Urgency.PATIENT:
+        return None
+    if hold is not None:
+        return 0.0
+    return gang_cost(item.job.spec, now_seconds - item.placed_seconds)
+
+
+def excluded_worker_ids(scheduler, job_id, now_seconds):
+    """Return the workers that refused or failed a job shortly before."""
+    history = scheduler.histories.get(job_id)
+    if history is None or not history.excluded_until:
+        return frozenset()
+    history.excluded_until = {
+        worker_id: until_seconds
+        for worker_id, until_seconds in history.excluded_until.items()
+        if until_seconds > now_seconds
+    }
+    return frozenset(history.excluded_until)
--- /dev/null
+++ b/kingcuptrack/state/limits.py
@@ -0,0 +1,101 @@
+"""Limits of jobs: what can never run, quotas, and capacity that a job may use."""
+
+from ..outcomes import Refused
+from .cluster import capacity_amounts, fit_count, task_needs
+from .guarantees import is_within_guarantee
+from .jobs import GANG_TASKS_LIMIT_COUNT
+from .model import (
+    current_shares,
+    gang_accelerators_count,
+    is_out,
+    is_reclaimable,
+    plan_of,
+)
+from .queues import Access
+
+
+def access_of(scheduler, spec):
+    """Return which capacity a job may use under the present plans."""
+    plan = plan_of(scheduler, spec.organisation)
+    if plan is None or not is_within_guarantee(plan, spec):
+        return Access.BORROWED_ONLY
+    if is_reclaimable(spec):
+        return Access.EITHER
+    return Access.GUARANTEED_ONLY
+
+
+def refusal(scheduler, spec):
+    """Return why a job can never run here under the present limits, or None."""
+    organisation = spec.organisation
+    plan = plan_of(scheduler, organisation)
+    if plan is None:
+        message = f"organisation {organisation} is not in the configuration"
+        return Refused(code="unknown_organisation", message=message)
+    if is_out(scheduler):
+        message = f"data centre {scheduler.data_centre} is out of service"
+        return Refused(code="data_centre_out", message=message)
+    if not 1 <= spec.tasks_count <= GANG_TASKS_LIMIT_COUNT:
+        message = (
+            f"the job has {spec.tasks_count} tasks; a gang has 1 to "
+            f"{GANG_TASKS_LIMIT_COUNT}"
+        )
+        return Refused(code="never_fits", message=message)
+    need_count = gang_accelerators_count(spec)
+    if need_count > plan.quota_accelerators_count:
+        message = (
+            f"the job needs {need_count} accelerators; the quota of plan {plan.name} "
+            f"is {plan.quota_accelerators_count}"
+        )
+        return Refused(code="never_fits", message=message)
+    if not scheduler.cluster.workers:
+        message = "no worker of this data centre is known"
+        return Refused(code="no_workers", message=message, retry_after_seconds=1.0)
+    fits_count = fitting_tasks_count(scheduler, task_needs(spec.shape))
+    if fits_count < spec.tasks_count:
+        message = (
+            f"the job has {spec.tasks_count} tasks; at most {fits_count} of this "
+            f"shape fit all workers of data centre {scheduler.data_centre} together"
+        )
+        return Refused(code="never_fits", message=message)
+    if not is_reclaimable(spec):
+        return _guaranteed_refusal(scheduler, spec, plan)
+    return None
+
+
+def _guaranteed_refusal(scheduler, spec, plan):
+    limit = (
+        "it is neither repeatable nor checkpointable, so it may only run on "
+        "guaranteed capacity: "
+    )
+    if not is_within_guarantee(plan, spec):
+        limit += (
+            f"it is larger than a guaranteed gang of plan {plan.name}, "
+            f"{plan.guaranteed_tasks_count} tasks of {plan.guaranteed_shape}"
+        )
+    elif not current_shares(scheduler).get(spec.organisation):
+        limit += (
+            f"data centre {scheduler.data_centre} has no guaranteed gang of "
+            f"organisation {spec.organisation}"
+        )
+    else:
+        return None
+    return Refused(code="never_guaranteed", message=limit)
+
+
+def fitting_tasks_count(scheduler, needs):
+    """Return how many tasks fit all workers that are not leaving, when empty."""
+    count = scheduler.fits.get(needs)
+    if count is None:
+        if len(scheduler.fits) >= 256:
+            scheduler.fits.clear()
+        count = scheduler.fits[needs] = sum(
+            fit_count(capacity_amounts(worker.capacity), needs)
+            for worker in scheduler.cluster.workers.values()
+            if not worker.is_leaving
+        )
+    return count
+
+
+def quota_excess(spec, plan, used_count):
+    """Return by how many accelerators a gang would exceed the quota."""
+    return used_count + gang_accelerators_count(spec) - plan.quota_accelerators_count
--- /dev/null
+++ b/kingcuptrack/state/model.py
@@ -0,0 +1,219 @@
+"""State of the scheduler of one data centre, and what it decides."""
+
+import random
+from collections.abc import Callable
+
+import attrs
+
+from .budgets import RetryBudgets
+from .cluster import Cluster, capacity_amounts
+from .guarantees import Packing
+from .health import Health
+from .jobs import JobSpec
+from .placement import best_fit_by_rack, natural_level
+from .plans import EMPTY_CONFIGURATION, Configuration
+from .queues import Queues
+from .reservations import Reservation
+from .shares import data_centre_shares
+
+
+@attrs.frozen(kw_only=True)
+class QueuedJob:
+    """A job waiting for placement; ``queued_seconds`` is on the placer's clock."""
+
+    job_id: str
+    spec: JobSpec
+    queued_seconds: float
+    attempt: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class PlacedGang:
+    """A gang with capacity assigned: worker ids by task index."""
+
+    job: QueuedJob
+    worker_ids: tuple[str, ...]
+    is_guaranteed: bool
+    placed_seconds: float
+
+
+@attrs.frozen(kw_only=True)
+class StartGang:
+    """Decision to start a gang; its capacity is already assigned."""
+
+    gang: PlacedGang
+    reason: str
+    runners_up: tuple[str, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class ReclaimGang:
+    """Decision to stop a gang so that its capacity can be used by another job."""
+
+    job_id: str
+    for_job_id: str
+    reason: str
+
+
+@attrs.frozen(kw_only=True)
+class CapacitySummary:
+    """What one data centre can take, for routing; compact and lagging."""
+
+    data_centre: str
+    free_accelerators_count: int
+    total_accelerators_count: int
+    waiting_jobs_count: int
+    largest_free_accelerators_count: int
+    largest_free_gang_accelerators_count: int = 0
+    used_accelerators_count_by_organisation: dict[str, int] = attrs.field(factory=dict)
+    unused_guaranteed_gangs_count_by_organisation: dict[str, int] = attrs.field(
+        factory=dict
+    )
+
+
+@attrs.frozen(kw_only=True)
+class Hold:
+    """Capacity promised to a job that waits for gangs to stop."""
+
+    job: QueuedJob
+    worker_ids: tuple[str, ...]
+    is_guaranteed: bool
+    reason: str
+
+
+@attrs.define(kw_only=True)
+class JobHistory:
+    """What earlier attempts of an open job mean for the next one."""
+
+    failures_count: int = 0
+    ready_seconds: float = 0.0
+    excluded_until: dict[str, float] = attrs.field(factory=dict)
+
+
+@attrs.define(kw_only=True)
+class Use:
+    """Amounts an organisation uses: running gangs, and running gangs that are not
+    being reclaimed plus holds."""
+
+    now: list[int] = attrs.field(factory=lambda: [0] * 5)
+    planned: list[int] = attrs.field(factory=lambda: [0] * 5)
+
+
+@attrs.define(kw_only=True)
+class Scheduler:
+    """Explicit state of one data centre, owned by its placer.
+
+    Parameters
+    ----------
+    lookahead_count : int
+        Oldest jobs of an organisation and urgency that one decision examines.
+    attempts_limit_count : int
+        Placements that one call of `decide` attempts.
+    reservation_after_seconds : float
+        Wait after which a patient gang gets an advance reservation.
+    exclusion_seconds : float
+        Time for which a job avoids a worker that refused or failed it.
+    """
+
+    data_centre: str
+    queue_limit_count: int = 2000
+    lookahead_count: int = 8
+    attempts_limit_count: int = 64
+    reservation_after_seconds: float = 120.0
+    exclusion_seconds: float = 10.0
+    history_limit_count: int = 4096
+    place: Callable = best_fit_by_rack
+    random_source: random.Random = attrs.field(factory=lambda: random.Random(0))
+    configuration: Configuration = EMPTY_CONFIGURATION
+    data_centres: tuple[str, ...] = ()
+    cluster: Cluster = attrs.field(factory=Cluster)
+    packing: Packing = attrs.field(factory=Packing)
+    health: Health = attrs.field(factory=Health)
+    budgets: RetryBudgets = attrs.field(factory=RetryBudgets)
+    queues: Queues = attrs.field(
+        default=attrs.Factory(
+            lambda self: Queues(limit_count=self.queue_limit_count), takes_self=True
+        )
+    )
+    delayed: dict[str, QueuedJob] = attrs.field(factory=dict)
+    delays: list = attrs.field(factory=list)
+    gangs: dict[str, PlacedGang] = attrs.field(factory=dict)
+    holds: dict[str, Hold] = attrs.field(factory=dict)
+    reclaiming: dict[str, str] = attrs.field(factory=dict)
+    reservation: Reservation | None = None
+    histories: dict[str, JobHistory] = attrs.field(factory=dict)
+    use: dict[str, Use] = attrs.field(factory=dict)
+    remote_use: dict[str, int] = attrs.field(factory=dict)
+    reasons: dict[str, str] = attrs.field(factory=dict)
+    levels: dict = attrs.field(factory=dict)
+    fits: dict = attrs.field(factory=dict)
+    unfit: dict = attrs.field(factory=dict)
+    unreclaimable: dict = attrs.field(factory=dict)
+    is_dirty: bool = True
+
+    @property
+    def workers(self):
+        """Workers by id, as last reported."""
+        return self.cluster.workers
+
+
+@attrs.define(kw_only=True)
+class Round:
+    """One call of ``decide``."""
+
+    now_seconds: float
+    attempts_left_count: int
+    decisions: list = attrs.field(factory=list)
+
+
+def plan_of(scheduler, organisation):
+    """Return the plan of an organisation, or None."""
+    name = scheduler.configuration.plan_by_organisation.get(organisation)
+    return None if name is None else scheduler.configuration.plans[name]
+
+
+def is_reclaimable(spec):
+    """Return whether a gang of this job may be stopped and run again."""
+    return spec.is_repeatable or spec.is_checkpointable
+
+
+def is_out(scheduler):
+    """Return whether this data centre is out of service."""
+    return scheduler.data_centre in scheduler.configuration.data_centres_out
+
+
+def gang_accelerators_count(spec):
+    """Return the accelerators of all tasks."""
+    return spec.tasks_count * spec.shape.accelerators_count
+
+
+def current_shares(scheduler):
+    """Return the guaranteed gangs of this data centre by organisation."""
+    data_centres = scheduler.data_centres or (scheduler.data_centre,)
+    return data_centre_shares(
+        scheduler.configuration, data_centres, scheduler.data_centre
+    )
+
+
+def whole_capacities(scheduler):
+    """Return the whole amounts of each worker."""
+    return {
+        worker_id: capacity_amounts(worker.capacity)
+        for worker_id, worker in scheduler.cluster.workers.items()
+    }
+
+
+def adjacency_level(scheduler, needs, tasks_count):
+    """Return the tightest adjacency that a gang can have on these workers."""
+    key = (needs, tasks_count)
+    level = scheduler.levels.get(key)
+    if level is None:
+        if len(scheduler.levels) >= 1024:
+            scheduler.levels.clear()
+        level = scheduler.levels[key] = natural_level(
+            scheduler.cluster.workers.values(),
+            whole_capacities(scheduler),
+            needs,
+            tasks_count,
+        )
+    return level
