--- a/kingcuptrack/state/scheduling.py
+++ b/kingcuptrack/state/scheduling.py
@@ -1,205 +1,526 @@
-"""Scheduling state of one data centre and the decisions taken on it."""
+"""Scheduling state of one data centre and the decisions taken on it.
 
-from collections import deque
+The placer calls this module. All times are on the placer's monotonic clock and
+passed in; nothing here does I/O.
+"""
+
+import heapq
 
 import attrs
 
 from ..outcomes import Refused
-from .jobs import JobSpec
-from .plans import EMPTY_CONFIGURATION, Configuration
-from .shapes import Worker, subtract_tasks, tasks_that_fit_count
-
-
-@attrs.frozen(kw_only=True)
-class QueuedJob:
-    """A job waiting for placement; ``queued_seconds`` is on the placer's clock."""
-
-    job_id: str
-    spec: JobSpec
-    queued_seconds: float
-    attempt: int = 0
-
-
-@attrs.frozen(kw_only=True)
-class PlacedGang:
-    """A gang with capacity assigned: worker ids by task index."""
-
-    job: QueuedJob
-    worker_ids: tuple[str, ...]
-    is_guaranteed: bool
-    placed_seconds: float
-
-
-@attrs.frozen(kw_only=True)
-class StartGang:
-    """Decision to start a gang; its capacity is already assigned."""
-
-    gang: PlacedGang
-    reason: str
-    runners_up: tuple[str, ...] = ()
-
-
-@attrs.frozen(kw_only=True)
-class ReclaimGang:
-    """Decision to stop a gang so that its capacity can be used by another job."""
-
-    job_id: str
-    for_job_id: str
-    reason: str
-
-
-@attrs.frozen(kw_only=True)
-class CapacitySummary:
-    """What one data centre can take, for routing; compact and lagging."""
-
-    data_centre: str
-    free_accelerators_count: int
-    total_accelerators_count: int
-    waiting_jobs_count: int
-    largest_free_accelerators_count: int
-
-
-@attrs.define(kw_only=True)
-class Scheduler:
-    """Explicit state of one data centre, owned by its placer."""
-
-    data_centre: str
-    queue_limit_count: int = 2000
-    configuration: Configuration = EMPTY_CONFIGURATION
-    workers: dict[str, Worker] = attrs.field(factory=dict)
-    queue: deque = attrs.field(factory=deque)
-    gangs: dict[str, PlacedGang] = attrs.field(factory=dict)
-    waiting_reasons: dict[str, str] = attrs.field(factory=dict)
-
-
-def add_job(scheduler, job, *, now_seconds):
+from . import budgets as budgets_module, health as health_module
+from .borrowed import attempt_borrowed, follow_reservation
+from .cluster import (
+    ACCELERATORS,
+    drop_worker,
+    end_tasks,
+    put_worker,
+    set_closed,
+    task_needs,
+)
+from .commitments import (
+    change_use,
+    demote_gang,
+    drop_hold,
+    enqueue_job,
+    occupy_workers,
+    requeue_hold,
+    start_held_gangs,
+)
+from .guaranteed import attempt_guaranteed
+from .guarantees import plan_kind, repack, shortfalls, unbind_slot, unused_slots
+from .jobs import Urgency
+from .limits import refusal
+from .model import (
+    CapacitySummary,
+    JobHistory,
+    PlacedGang,
+    QueuedJob,
+    ReclaimGang,
+    Round,
+    Scheduler,
+    StartGang,
+    adjacency_level,
+    current_shares,
+    is_out,
+    is_reclaimable,
+    plan_of,
+    whole_capacities,
+)
+from .placement import largest_placeable_count
+from .queues import (
+    BORROWED_ACCESSES,
+    GUARANTEED_ACCESSES,
+    Queues,
+    all_jobs,
+    drop_job,
+    fair_order,
+    find_job,
+    first_jobs,
+    has_room,
+)
+from .reasons import hold_reason
+
+__all__ = [
+    "CapacitySummary",
+    "PlacedGang",
+    "QueuedJob",
+    "ReclaimGang",
+    "Scheduler",
+    "StartGang",
+    "add_job",
+    "adopt_gang",
+    "capacity_summary",
+    "decide",
+    "failure_verdict",
+    "forget_job",
+    "gang_ended",
+    "guarantee_shortfalls",
+    "never_fitting_jobs",
+    "quarantined_worker_ids",
+    "remove_job",
+    "remove_worker",
+    "set_configuration",
+    "set_data_centres",
+    "set_remote_use",
+    "set_worker",
+    "waiting_reason",
+]
+
+
+def add_job(scheduler, job, *, now_seconds, is_requeue=False):
     """Queue a job.
 
+    A job that was accepted before is never refused: it keeps its place by age and
+    may exceed the bound of the queue. A job whose gang has just ended counts as
+    such without ``is_requeue``.
+
     Returns
     -------
     Refused or None
         A refusal if the job can never run or the queue is full.
     """
-    spec = job.spec
-    if spec.organisation not in scheduler.configuration.plan_by_organisation:
-        return Refused(code="unknown_organisation", message=spec.organisation)
-    fit_count = sum(
-        tasks_that_fit_count(worker.capacity, spec.shape)
-        for worker in scheduler.workers.values()
-    )
-    if fit_count < spec.tasks_count:
-        message = f"{spec.tasks_count} tasks; at most {fit_count} can ever run here"
-        return Refused(code="never_fits", message=message)
-    if len(scheduler.queue) >= scheduler.queue_limit_count:
-        return Refused(code="queue_full", retry_after_seconds=1.0)
-    scheduler.queue.append(job)
+    job_id = job.job_id
+    if job_id in scheduler.gangs:
+        message = "the gang of this job has not ended"
+        return Refused(code="already_placed", message=message)
+    if _find_waiting(scheduler, job_id) is not None:
+        return None
+    history = scheduler.histories.get(job_id)
+    if not is_requeue and history is None:
+        refused = refusal(scheduler, job.spec)
+        if refused is not None:
+            return refused
+        organisations_count = len(scheduler.configuration.plan_by_organisation)
+        if not has_room(scheduler.queues, job.spec.organisation, organisations_count):
+            message = f"the queue holds {scheduler.queue_limit_count} jobs"
+            return Refused(code="queue_full", message=message, retry_after_seconds=1.0)
+    if history is not None and history.ready_seconds > now_seconds:
+        scheduler.delayed[job_id] = job
+        heapq.heappush(scheduler.delays, (history.ready_seconds, job_id))
+    else:
+        enqueue_job(scheduler, job)
     return None
 
 
 def remove_job(scheduler, job_id):
     """Remove a waiting job; return it, or None if it does not wait."""
-    for job in scheduler.queue:
-        if job.job_id == job_id:
-            scheduler.queue.remove(job)
-            scheduler.waiting_reasons.pop(job_id, None)
-            return job
-    return None
+    job = _find_waiting(scheduler, job_id)
+    if job is None:
+        return None
+    scheduler.delayed.pop(job_id, None)
+    if job_id in scheduler.holds:
+        drop_hold(scheduler, job_id)
+    drop_job(scheduler.queues, job_id)
+    forget_job(scheduler, job_id)
+    return job
+
+
+def forget_job(scheduler, job_id):
+    """Forget what is remembered about a job that has a final outcome."""
+    scheduler.reasons.pop(job_id, None)
+    scheduler.histories.pop(job_id, None)
+    health_module.forget_job(scheduler.health, job_id)
+    if scheduler.reservation is not None and scheduler.reservation.job_id == job_id:
+        scheduler.reservation = None
 
 
 def set_worker(scheduler, worker):
     """Add or update a worker."""
-    scheduler.workers[worker.worker_id] = worker
+    known = scheduler.cluster.workers.get(worker.worker_id)
+    if known == worker:
+        return
+    if known is not None and known.incarnation != worker.incarnation:
+        health_module.forget_worker(scheduler.health, worker.worker_id)
+    put_worker(scheduler.cluster, worker)
+    scheduler.is_dirty = True
+    scheduler.fits.clear()
 
 
 def remove_worker(scheduler, worker_id):
     """Forget a worker; its gangs end through `gang_ended`."""
-    scheduler.workers.pop(worker_id, None)
+    if worker_id in scheduler.cluster.workers:
+        drop_worker(scheduler.cluster, worker_id)
+        health_module.forget_worker(scheduler.health, worker_id)
+        budgets_module.forget_endpoint(scheduler.budgets, worker_id)
+        scheduler.is_dirty = True
+        scheduler.fits.clear()
 
 
 def set_configuration(scheduler, configuration):
-    """Use a newer configuration from now on."""
+    """Use a newer configuration from now on; waiting jobs keep their age."""
+    if configuration == scheduler.configuration:
+        return
     scheduler.configuration = configuration
+    jobs = all_jobs(scheduler.queues)
+    scheduler.queues = Queues(limit_count=scheduler.queue_limit_count)
+    for job in jobs:
+        enqueue_job(scheduler, job)
+    for job_id in list(scheduler.holds):
+        requeue_hold(scheduler, job_id)
+    scheduler.is_dirty = True
+
+
+def set_data_centres(scheduler, data_centres):
+    """Use the list of all data centres, in service or not, to compute shares."""
+    data_centres = tuple(sorted(set(data_centres)))
+    if data_centres != scheduler.data_centres:
+        scheduler.data_centres = data_centres
+        scheduler.is_dirty = True
+
+
+def set_remote_use(scheduler, accelerators_count_by_organisation):
+    """Count use in other data centres against the quota of borrowed work.
+
+    Guaranteed work is limited by local use only: late reports of others must not
+    deny a guarantee.
+    """
+    scheduler.remote_use = dict(accelerators_count_by_organisation)
 
 
 def decide(scheduler, *, now_seconds):
-    """Return the decisions possible now; capacity of starts is assigned."""
-    decisions = []
-    free = _free_capacities(scheduler)
-    for job in list(scheduler.queue):
-        worker_ids = _first_fit(free, job.spec)
-        if worker_ids is None:
-            scheduler.waiting_reasons[job.job_id] = "not enough free capacity"
-            continue
-        scheduler.queue.remove(job)
-        gang = PlacedGang(
-            job=job,
-            worker_ids=worker_ids,
-            is_guaranteed=False,
-            placed_seconds=now_seconds,
-        )
-        scheduler.gangs[job.job_id] = gang
-        decisions.append(StartGang(gang=gang, reason="first fit"))
-    return decisions
+    """Return the decisions possible now; capacity of starts is assigned.
+
+    Examines the oldest jobs of each queue and attempts a bounded number of
+    placements; each costs at most linear time in the workers.
+    """
+    round_ = Round(
+        now_seconds=now_seconds, attempts_left_count=scheduler.attempts_limit_count
+    )
+    scheduler.reasons.clear()
+    _queue_delayed(scheduler, now_seconds)
+    _repair(scheduler)
+    if not scheduler.cluster.workers or is_out(scheduler):
+        return round_.decisions
+    start_held_gangs(scheduler, round_)
+    follow_reservation(scheduler, round_)
+    for accesses, attempt in (
+        (GUARANTEED_ACCESSES, attempt_guaranteed),
+        (BORROWED_ACCESSES, attempt_borrowed),
+    ):
+        for urgency in (Urgency.URGENT, Urgency.PATIENT):
+            _run_pass(scheduler, round_, urgency, accesses, attempt)
+    # A hold that took over a promise, and needs no gang to stop, is ready at once.
+    start_held_gangs(scheduler, round_)
+    return round_.decisions
 
 
 def adopt_gang(scheduler, gang):
     """Take over a gang that runs already."""
-    scheduler.gangs[gang.job.job_id] = gang
+    job_id = gang.job.job_id
+    if job_id in scheduler.gangs:
+        return
+    remove_job(scheduler, job_id)
+    if not is_reclaimable(gang.job.spec):
+        gang = attrs.evolve(gang, is_guaranteed=True)
+    occupy_workers(scheduler, gang)
+    scheduler.is_dirty = True
 
 
 def gang_ended(
-    scheduler, job_id, *, now_seconds, failed_worker_ids=(), succeeded=False
+    scheduler,
+    job_id,
+    *,
+    now_seconds,
+    failed_worker_ids=(),
+    succeeded=False,
+    refused_worker_ids=(),
+    tasks_failed=False,
 ):
-    """Free the capacity of a gang that no longer holds any worker."""
-    scheduler.gangs.pop(job_id, None)
+    """Free the capacity of a gang that no longer holds any worker.
+
+    Parameters
+    ----------
+    failed_worker_ids : sequence of str
+        Workers that failed, timed out or were lost.
+    refused_worker_ids : sequence of str
+        Workers that refused the gang, for instance for lack of capacity; the job
+        avoids them for a while and nothing else follows.
+    tasks_failed : bool
+        Whether tasks ran on the failed workers and reported an error, which
+        counts against the job as well.
+    """
+    gang = scheduler.gangs.pop(job_id, None)
+    if gang is None:
+        return
+    spec = gang.job.spec
+    if job_id not in scheduler.reclaiming:
+        change_use(scheduler, spec, planned=-1)
+    change_use(scheduler, spec, now=-1)
+    scheduler.reclaiming.pop(job_id, None)
+    end_tasks(scheduler.cluster, job_id)
+    scheduler.unfit.clear()
+    scheduler.unreclaimable.clear()
+    slot = unbind_slot(scheduler.packing, job_id)
+    if slot is not None and slot.is_partial:
+        scheduler.is_dirty = True
+    health = scheduler.health
+    if succeeded:
+        if health_module.record_success(health, set(gang.worker_ids), job_id):
+            scheduler.is_dirty = True
+        budgets_module.record_success(
+            scheduler.budgets,
+            organisation=spec.organisation,
+            endpoints=set(gang.worker_ids),
+            now_seconds=now_seconds,
+        )
+        forget_job(scheduler, job_id)
+        return
+    history = _history(scheduler, job_id)
+    for worker_id in (*failed_worker_ids, *refused_worker_ids):
+        history.excluded_until[worker_id] = now_seconds + scheduler.exclusion_seconds
+    for worker_id in set(failed_worker_ids):
+        if health_module.record_failure(
+            health,
+            worker_id,
+            job_id,
+            now_seconds=now_seconds,
+            tasks_failed=tasks_failed,
+        ):
+            scheduler.is_dirty = True
+    for worker_id in set(gang.worker_ids):
+        health_module.end_probe(health, worker_id, job_id)
+    if failed_worker_ids or refused_worker_ids:
+        _delay_retry(scheduler, gang.job, history, failed_worker_ids, now_seconds)
+
+
+def failure_verdict(scheduler, job_id):
+    """Return why a job should fail instead of being tried again, or an empty string.
+
+    Call it after `gang_ended`: a job that failed on several healthy workers is at
+    fault itself.
+    """
+    return health_module.job_verdict(scheduler.health, job_id)
+
+
+def guarantee_shortfalls(scheduler):
+    """Return the guarantees that do not fit the present workers, by organisation."""
+    _repair(scheduler)
+    return shortfalls(scheduler.packing)
+
+
+def never_fitting_jobs(scheduler):
+    """Return ``(job, refusal)`` of waiting jobs that can no longer run.
+
+    Meant for changes of configuration or workers; linear in the waiting jobs.
+    """
+    jobs = all_jobs(scheduler.queues)
+    refusals = ((job, refusal(scheduler, job.spec)) for job in jobs)
+    return [(job, refused) for job, refused in refusals if refused is not None]
+
+
+def quarantined_worker_ids(scheduler):
+    """Return the workers that get no work because they failed several jobs."""
+    return tuple(sorted(scheduler.health.quarantines))
 
 
 def waiting_reason(scheduler, job_id):
     """Return why a job waits, or an empty string."""
-    return scheduler.waiting_reasons.get(job_id, "")
+    job = _find_waiting(scheduler, job_id)
+    if job is None:
+        return ""
+    if is_out(scheduler):
+        return f"data centre {scheduler.data_centre} is out of service"
+    if not scheduler.cluster.workers:
+        return "no worker of this data centre is known"
+    if job_id in scheduler.holds:
+        return hold_reason(scheduler, scheduler.holds[job_id])
+    if job_id in scheduler.delayed:
+        failures_count = scheduler.histories[job_id].failures_count
+        return f"delayed after failed attempt {failures_count}"
+    reason = scheduler.reasons.get(job_id)
+    if reason:
+        return reason
+    refused = refusal(scheduler, job.spec)
+    if refused is not None:
+        return refused.message
+    return f"behind older jobs of organisation {job.spec.organisation}"
 
 
 def capacity_summary(scheduler):
     """Return the compact summary that other data centres route by."""
+    _repair(scheduler)
+    cluster = scheduler.cluster
     free_counts = [
-        capacity.accelerators_count for capacity in _free_capacities(scheduler).values()
+        max(0, cluster.available[worker_id][ACCELERATORS])
+        for worker_ids in cluster.racks.values()
+        for worker_id in worker_ids
     ]
     return CapacitySummary(
         data_centre=scheduler.data_centre,
         free_accelerators_count=sum(free_counts),
-        total_accelerators_count=sum(
-            worker.capacity.accelerators_count for worker in scheduler.workers.values()
-        ),
-        waiting_jobs_count=len(scheduler.queue),
+        total_accelerators_count=cluster.totals[ACCELERATORS],
+        waiting_jobs_count=len(scheduler.queues.queue_by_job)
+        + len(scheduler.delayed)
+        + len(scheduler.holds),
         largest_free_accelerators_count=max(free_counts, default=0),
+        largest_free_gang_accelerators_count=largest_placeable_count(
+            cluster.racks, cluster.available, whole_capacities(scheduler)
+        ),
+        used_accelerators_count_by_organisation={
+            organisation: use.now[ACCELERATORS]
+            for organisation, use in scheduler.use.items()
+            if use.now[ACCELERATORS]
+        },
+        unused_guaranteed_gangs_count_by_organisation={
+            organisation: len(unused_slots(scheduler.packing, organisation))
+            for organisation in scheduler.packing.slots
+        },
     )
 
 
-def _free_capacities(scheduler):
-    free = {
-        worker.worker_id: worker.capacity
-        for worker in scheduler.workers.values()
-        if not worker.is_leaving
+def _find_waiting(scheduler, job_id):
+    if job_id in scheduler.holds:
+        return scheduler.holds[job_id].job
+    if job_id in scheduler.delayed:
+        return scheduler.delayed[job_id]
+    return find_job(scheduler.queues, job_id)
+
+
+def _history(scheduler, job_id):
+    history = scheduler.histories.get(job_id)
+    if history is None:
+        history = scheduler.histories[job_id] = JobHistory()
+        if len(scheduler.histories) > scheduler.history_limit_count:
+            del scheduler.histories[next(iter(scheduler.histories))]
+    return history
+
+
+def _delay_retry(scheduler, job, history, failed_worker_ids, now_seconds):
+    history.failures_count += 1
+    delay_seconds = budgets_module.retry_delay_seconds(
+        history.failures_count, scheduler.random_source
+    )
+    is_in_budget = budgets_module.take_retry(
+        scheduler.budgets,
+        organisation=job.spec.organisation,
+        endpoints=set(failed_worker_ids),
+        now_seconds=now_seconds,
+    )
+    if not is_in_budget:
+        # The longest delay: an accepted job is not refused for lack of budget.
+        delay_seconds = budgets_module.retry_delay_seconds(32, scheduler.random_source)
+    history.ready_seconds = now_seconds + delay_seconds
+
+
+def _queue_delayed(scheduler, now_seconds):
+    while scheduler.delays and scheduler.delays[0][0] <= now_seconds:
+        ready_seconds, job_id = heapq.heappop(scheduler.delays)
+        history = scheduler.histories.get(job_id)
+        if history is not None and history.ready_seconds > ready_seconds:
+            continue
+        job = scheduler.delayed.pop(job_id, None)
+        if job is not None:
+            enqueue_job(scheduler, job)
+
+
+def _repair(scheduler):
+    """Bring racks, levels and the packing in line with workers and shares."""
+    if not scheduler.is_dirty:
+        return
+    scheduler.is_dirty = False
+    cluster = scheduler.cluster
+    set_closed(cluster, scheduler.health.quarantines)
+    scheduler.levels.clear()
+    scheduler.unfit.clear()
+    scheduler.unreclaimable.clear()
+    open_ids = {item for ids in cluster.racks.values() for item in ids}
+    for job_id, hold in list(scheduler.holds.items()):
+        if not open_ids.issuperset(hold.worker_ids):
+            requeue_hold(scheduler, job_id)
+    if scheduler.reservation is not None and not open_ids.issuperset(
+        scheduler.reservation.worker_ids
+    ):
+        scheduler.reservation = None
+    plans = scheduler.configuration.plan_by_organisation
+    guaranteed = {
+        job_id: (
+            item.job.spec.organisation,
+            task_needs(item.job.spec.shape),
+            item.worker_ids,
+            job_id in scheduler.holds or is_reclaimable(item.job.spec),
+        )
+        for job_id, item in (*scheduler.gangs.items(), *scheduler.holds.items())
+        if item.is_guaranteed
     }
-    for gang in scheduler.gangs.values():
-        for worker_id in gang.worker_ids:
-            if worker_id in free:
-                free[worker_id] = subtract_tasks(
-                    free[worker_id], gang.job.spec.shape, 1
-                )
-    return free
-
-
-def _first_fit(free, spec):
-    chosen = []
-    remaining = dict(free)
-    for worker_id, capacity in free.items():
-        count = min(
-            tasks_that_fit_count(capacity, spec.shape), spec.tasks_count - len(chosen)
+    demoted = repack(
+        scheduler.packing,
+        cluster.racks,
+        whole_capacities(scheduler),
+        current_shares(scheduler),
+        {name: plan_kind(plan_of(scheduler, name)) for name in plans},
+        lambda kind: adjacency_level(scheduler, kind.needs, kind.tasks_count),
+        guaranteed,
+    )
+    for job_id in demoted:
+        if job_id in scheduler.holds:
+            requeue_hold(scheduler, job_id)
+        else:
+            demote_gang(scheduler, job_id)
+
+
+def _fair_share(scheduler, organisation):
+    plan = plan_of(scheduler, organisation)
+    use = scheduler.use.get(organisation)
+    if plan is None or use is None:
+        return 0.0
+    totals = scheduler.cluster.totals
+    shares = (
+        amount / total
+        for amount, total in zip(use.planned, totals, strict=True)
+        if total
+    )
+    dominant = max(shares, default=0.0)
+    return dominant / plan.weight
+
+
+def _run_pass(scheduler, round_, urgency, accesses, attempt):
+    """Offer capacity to the organisations in turn until none can use it."""
+
+    def share_of(organisation):
+        return _fair_share(scheduler, organisation)
+
+    heap = fair_order(scheduler.queues, urgency, accesses, share_of)
+    while heap and round_.attempts_left_count > 0:
+        _, _, organisation = heapq.heappop(heap)
+        plan = plan_of(scheduler, organisation)
+        if plan is None:
+            continue
+        jobs = first_jobs(
+            scheduler.queues,
+            organisation,
+            urgency,
+            accesses,
+            scheduler.lookahead_count,
         )
-        remaining[worker_id] = subtract_tasks(capacity, spec.shape, count)
-        chosen += [worker_id] * count
-    if len(chosen) < spec.tasks_count:
-        return None
-    free.update(remaining)
-    return tuple(chosen)
+        for job in jobs:
+            if round_.attempts_left_count <= 0:
+                break
+            if attempt(scheduler, round_, job, plan):
+                # Other jobs of the organisation have their turn by its new share.
+                rest = first_jobs(scheduler.queues, organisation, urgency, accesses, 1)
+                if rest:
+                    key = (share_of(organisation), rest[0].queued_seconds, organisation)
+                    heapq.heappush(heap, key)
+                break
