Let the placer use the whole policy: shares, health, retry delays, quotas

Cause: the placer still used only the first-fit interface, and a gang refused by its own data centre was reserved and released 60 times a second. Change: refusals and failures of workers are told apart, a job at fault fails, requeued jobs are never refused, data centres and remote use reach the scheduler, a start refused here waits 0.5 s.

--- a/kingcuptrack/coordination/attempts.py
+++ b/kingcuptrack/coordination/attempts.py
@@ -116,17 +116,27 @@
     """Reserve, claim and start; return an event if the attempt ended."""
     calls = context.gang_calls
     outcomes = await calls.reserve(run, row_version=job.row_version)
-    refusing_ids = _not_done(outcomes)
-    if refusing_ids:
-        reason = f"not reserved at {', '.join(refusing_ids)}"
-        return await _release(context, job, run, reason, refusing_ids)
+    unreserved_ids = _not_done(outcomes)
+    if unreserved_ids:
+        refused_ids = _refused(outcomes)
+        return await _release(
+            context,
+            job,
+            run,
+            reason=f"not reserved at {', '.join(unreserved_ids)}",
+            failed_worker_ids=tuple(sorted(set(unreserved_ids) - set(refused_ids))),
+            refused_worker_ids=refused_ids,
+        )
     reason = await _claim(context, job, run)
     if not reason and not calls.has_start_time(run):
         reason = "leases about to lapse"
+    reason = reason or run.stop_reason
+    if reason:
+        return await _release(context, job, run, reason=reason)
     # Checked as late as possible: a take-out may have come since the decision.
-    reason = reason or run.stop_reason or _start_refusal(context, run)
+    reason = _start_refusal(context, run)
     if reason:
-        return await _release(context, job, run, reason, ())
+        return await _release(context, job, run, reason=reason, is_refused_here=True)
     outcomes = await calls.start(run)
     failed_ids = _not_done(outcomes)
     if failed_ids:
@@ -139,11 +149,11 @@
     return None
 
 
-async def _release(context, job, run, reason, failed_worker_ids):
+async def _release(context, job, run, *, reason, **fields):
     """End an attempt that was not started anywhere."""
     await context.gang_calls.stop(run)
     await _unclaim(context, job)
-    return GangEnded(run=run, reason=reason, failed_worker_ids=failed_worker_ids)
+    return GangEnded(run=run, reason=reason, **fields)
 
 
 def _start_refusal(context, run):
@@ -261,7 +271,10 @@
     if may_rerun and not job.is_cancelled and not run.is_job_at_fault:
         await _unclaim(context, job)
         return GangEnded(
-            run=run, reason=run.stop_reason, failed_worker_ids=failed_worker_ids
+            run=run,
+            reason=run.stop_reason,
+            failed_worker_ids=failed_worker_ids,
+            is_task_failed=is_task_failed,
         )
     if job.is_cancelled:
         phase, reason = not_run_phase(job, Phase.CANCELLED), "cancelled"
@@ -278,7 +291,10 @@
     if not is_written and (phase in NOT_RUN_PHASES or job.is_cancelled):
         answer = await record_until_written(context, job, row)
     ended = JobEnded(
-        job_id=job.job_id, answer=answer, failed_worker_ids=failed_worker_ids
+        job_id=job.job_id,
+        answer=answer,
+        failed_worker_ids=failed_worker_ids,
+        is_task_failed=is_task_failed,
     )
     if not is_written:
         context.mailbox.post(ended)
@@ -296,6 +312,17 @@
     )
 
 
+def _refused(outcomes):
+    """Return the workers that answered with a refusal."""
+    return tuple(
+        sorted(
+            worker_id
+            for worker_id, outcome in outcomes.items()
+            if isinstance(outcome, Refused) and outcome.code != "unreachable"
+        )
+    )
+
+
 def _failed_worker_ids(run):
     return tuple(
         member.worker_id
--- a/kingcuptrack/coordination/membership.py
+++ b/kingcuptrack/coordination/membership.py
@@ -103,6 +103,15 @@
             and listed.data_centre == self._settings.data_centre
         }
 
+    def all_data_centres(self):
+        """Return every data centre that has instances or workers in the list.
+
+        Unlike the known data centres, one keeps its place here while its entry
+        instances are replaced, so that shares of guarantees do not shift meanwhile.
+        """
+        listed = {instance.data_centre for instance in self.listed.values()}
+        return listed | self.known_data_centres
+
     def silent_data_centres(self, timeout_seconds):
         """Return the other known data centres not heard from in that time."""
         horizon = time.monotonic() - timeout_seconds
--- a/kingcuptrack/coordination/open_jobs.py
+++ b/kingcuptrack/coordination/open_jobs.py
@@ -35,11 +35,18 @@
 
 @attrs.frozen(kw_only=True)
 class GangEnded:
-    """Event: an attempt holds no worker any more and has no outcome."""
+    """Event: an attempt holds no worker any more and has no outcome.
+
+    ``failed_worker_ids`` failed or did not answer, ``refused_worker_ids`` said no.
+    ``is_refused_here`` tells that the data centre may not start the gang now.
+    """
 
     run: GangRun
     reason: str
     failed_worker_ids: tuple[str, ...] = ()
+    refused_worker_ids: tuple[str, ...] = ()
+    is_task_failed: bool = False
+    is_refused_here: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -50,6 +57,7 @@
     answer: JobAnswer
     succeeded: bool = False
     failed_worker_ids: tuple[str, ...] = ()
+    is_task_failed: bool = False
 
 
 def make_row(job, *, phase, data_centre, run=None, reason="", results=()):
--- a/kingcuptrack/coordination/placer.py
+++ b/kingcuptrack/coordination/placer.py
@@ -29,9 +29,13 @@
     add_job,
     capacity_summary,
     decide,
+    failure_verdict,
+    forget_job,
     gang_ended,
     remove_job,
     set_configuration,
+    set_data_centres,
+    set_remote_use,
     waiting_reason,
 )
 from ..transport.workers import GangKey
@@ -51,6 +55,9 @@
 # Final answers stay in memory this long for callers that poll.
 FINAL_KEPT_SECONDS = 60.0
 
+# Pause before a job is queued again that this data centre may not start now.
+REFUSED_HERE_SECONDS = 0.5
+
 # Pause after a job could not be moved out of a data centre that leaves.
 MOVE_RETRY_SECONDS = 1.0
 
@@ -122,6 +129,8 @@
         configuration = self.context.configuration.current
         if self.scheduler.configuration is not configuration:
             set_configuration(self.scheduler, configuration)
+        set_data_centres(self.scheduler, self.context.membership.all_data_centres())
+        set_remote_use(self.scheduler, self._remote_use())
         self.watch.update_workers()
         if now_seconds >= self._next_scan_seconds:
             self._next_scan_seconds = now_seconds + SCAN_INTERVAL_SECONDS
@@ -134,6 +143,19 @@
             self._decide(now_seconds)
         self.summary = capacity_summary(self.scheduler)
 
+    def _remote_use(self):
+        """Return the accelerators that organisations use in other data centres."""
+        membership = self.context.membership
+        counts = {}
+        for name in membership.known_data_centres - {self.context.data_centre}:
+            placer = membership.placer_of(name)
+            if placer is None or placer.summary is None:
+                continue
+            used = placer.summary.used_accelerators_count_by_organisation
+            for organisation, count in used.items():
+                counts[organisation] = counts.get(organisation, 0) + count
+        return counts
+
     def _decide(self, now_seconds):
         for decision in decide(self.scheduler, now_seconds=now_seconds):
             if isinstance(decision, StartGang):
@@ -188,8 +210,11 @@
         self.jobs[job_id] = job
         return job
 
-    def queue_job(self, job):
-        """Put a held job into the queue; return the refusal if it has no place."""
+    def queue_job(self, job, *, is_requeue=False):
+        """Put a held job into the queue; return the refusal if it has no place.
+
+        A job queued again keeps its place and is never refused.
+        """
         job.status = "queued"
         job.run = None
         queued = QueuedJob(
@@ -198,11 +223,17 @@
             queued_seconds=job.queued_seconds,
             attempt=job.token,
         )
-        return add_job(self.scheduler, queued, now_seconds=time.monotonic())
+        return add_job(
+            self.scheduler,
+            queued,
+            now_seconds=time.monotonic(),
+            is_requeue=is_requeue,
+        )
 
     def queue_or_refuse(self, job):
-        """Queue a job that was accepted earlier; a refusal is its outcome."""
-        refusal = self.queue_job(job)
+        """Queue a job found in the table; a refusal is its outcome."""
+        # A job that had an attempt was found to fit before.
+        refusal = self.queue_job(job, is_requeue=job.token > 0)
         if refusal is not None:
             reason = f"{refusal.code}: {refusal.message}"
             self._finish_waiting(job, not_run_phase(job, Phase.REFUSED), reason)
@@ -351,6 +382,8 @@
             event.run.job_id,
             now_seconds=time.monotonic(),
             failed_worker_ids=event.failed_worker_ids,
+            refused_worker_ids=event.refused_worker_ids,
+            tasks_failed=event.is_task_failed,
         )
         if job is None or job.answer is not None:
             return
@@ -358,10 +391,24 @@
             job_id=job.job_id, token=event.run.key.token, reason=event.reason
         ).info("attempt ended without an outcome")
         job.run = None
+        verdict = failure_verdict(self.scheduler, job.job_id)
+        if job.is_cancelled:
+            self._finish_waiting(job, not_run_phase(job, Phase.CANCELLED), "cancelled")
+        elif verdict:
+            self._finish_waiting(job, Phase.FAILED, verdict)
+        elif event.is_refused_here:
+            job.status = "delayed"
+            self._task_group.start_soon(self._queue_later, job)
+        else:
+            self.queue_job(job, is_requeue=True)
+
+    async def _queue_later(self, job):
+        """Queue a job again after a pause, so that refused starts do not spin."""
+        await anyio.sleep(REFUSED_HERE_SECONDS)
         if job.is_cancelled:
             self._finish_waiting(job, not_run_phase(job, Phase.CANCELLED), "cancelled")
         else:
-            self.queue_or_refuse(job)
+            self.queue_job(job, is_requeue=True)
 
     def _end_job(self, event):
         gang_ended(
@@ -370,7 +417,9 @@
             now_seconds=time.monotonic(),
             failed_worker_ids=event.failed_worker_ids,
             succeeded=event.succeeded,
+            tasks_failed=event.is_task_failed,
         )
+        forget_job(self.scheduler, event.job_id)
         job = self.jobs.get(event.job_id)
         if job is None or job.answer is not None:
             return
@@ -414,7 +463,7 @@
                 phase = not_run_phase(job, Phase.CANCELLED)
                 self._finish_waiting(job, phase, "cancelled")
             else:
-                self.queue_or_refuse(job)
+                self.queue_job(job, is_requeue=True)
             await anyio.sleep(MOVE_RETRY_SECONDS)
         finally:
             self._moving_job_ids.discard(job.job_id)
