Route jobs by adjacent free capacity and unused guarantees

Cause: routing summed free accelerators, so a gang could be sent where it does not fit, and work that cannot be reclaimed could be refused by three data centres without a share before the one that has it. Change: ranking by adjacent free capacity, unused guaranteed gangs and load; work bound to its guarantee goes only where its organisation has a share. Checked by tests/test_routing.py; the effect on completion time is not measured yet.

--- a/kingcuptrack/coordination/front.py
+++ b/kingcuptrack/coordination/front.py
@@ -25,6 +25,7 @@
 STATUS_BY_CODE = {
     "unknown_organisation": 422,
     "never_fits": 422,
+    "never_guaranteed": 422,
     "key_conflict": 409,
     "queue_full": 429,
 }
--- a/kingcuptrack/coordination/placer.py
+++ b/kingcuptrack/coordination/placer.py
@@ -74,6 +74,7 @@
         self._move_job = move_job
         self._task_group = None
         self._next_scan_seconds = 0.0
+        self._next_refresh_seconds = 0.0
         self._drain_seconds = None
         self._moving_job_ids = set()
 
@@ -129,9 +130,9 @@
         configuration = self.context.configuration.current
         if self.scheduler.configuration is not configuration:
             set_configuration(self.scheduler, configuration)
-        set_data_centres(self.scheduler, self.context.membership.all_data_centres())
-        set_remote_use(self.scheduler, self._remote_use())
-        self.watch.update_workers()
+        if now_seconds >= self._next_refresh_seconds:
+            self._next_refresh_seconds = now_seconds + DECISION_INTERVAL_SECONDS
+            self._refresh()
         if now_seconds >= self._next_scan_seconds:
             self._next_scan_seconds = now_seconds + SCAN_INTERVAL_SECONDS
             self._task_group.start_soon(self._scan_table)
@@ -141,6 +142,13 @@
         else:
             self._drain_seconds = None
             self._decide(now_seconds)
+
+    def _refresh(self):
+        """Exchange views with the membership; too costly for every event."""
+        membership = self.context.membership
+        set_data_centres(self.scheduler, membership.all_data_centres())
+        set_remote_use(self.scheduler, self._remote_use())
+        self.watch.update_workers()
         self.summary = capacity_summary(self.scheduler)
 
     def _remote_use(self):
--- a/kingcuptrack/coordination/routing.py
+++ b/kingcuptrack/coordination/routing.py
@@ -5,6 +5,9 @@
 from ..logs import log_decision
 from ..outcomes import Done, Refused, Unknown
 from ..protocol.messages import SubmitJob
+from ..state.guarantees import is_within_guarantee
+from ..state.model import is_reclaimable
+from ..state.shares import data_centre_shares
 
 # Data centres tried for one job before the caller is told that it was not run.
 TRIES_COUNT = 3
@@ -19,20 +22,36 @@
     summary: object
 
 
-def rank_candidates(candidates, spec, *, own_data_centre):
+def rank_candidates(candidates, spec, plan, *, own_data_centre):
     """Return candidates in the order to try.
 
-    First those where the job fits into free capacity, the own data centre before
-    others; then those with the shortest queue per accelerator.
+    A job that may only run on guaranteed capacity goes where a guaranteed gang of
+    its organisation is unused. Any other goes where it fits next to each other right
+    now, the own data centre before others, then where it can reclaim its guarantee,
+    then to the shortest queue per accelerator.
+
+    Parameters
+    ----------
+    candidates : list of Candidate
+    spec : JobSpec
+    plan : Plan
+        Plan of the organisation.
+    own_data_centre : str
     """
     needed_count = spec.tasks_count * spec.shape.accelerators_count
+    is_guaranteed_kind = is_within_guarantee(plan, spec)
+    is_bound_to_guarantee = not is_reclaimable(spec)
 
     def sort_key(candidate):
         summary = candidate.summary
-        fits_now = summary.free_accelerators_count >= needed_count
+        unused = summary.unused_guaranteed_gangs_count_by_organisation
+        has_guarantee = is_guaranteed_kind and unused.get(spec.organisation, 0) > 0
+        fits_now = summary.largest_free_gang_accelerators_count >= needed_count
         load = summary.waiting_jobs_count / max(1, summary.total_accelerators_count)
         return (
+            is_bound_to_guarantee and not has_guarantee,
             not fits_now,
+            not has_guarantee,
             0.0 if fits_now else round(load, 3),
             candidate.data_centre != own_data_centre,
             load,
@@ -42,6 +61,18 @@
     return sorted(candidates, key=sort_key)
 
 
+def _routing_reason(candidate, spec):
+    summary = candidate.summary
+    needed_count = spec.tasks_count * spec.shape.accelerators_count
+    free_count = summary.largest_free_gang_accelerators_count
+    unused = summary.unused_guaranteed_gangs_count_by_organisation
+    return (
+        f"needs {needed_count} accelerators, {free_count} adjacent free, "
+        f"{unused.get(spec.organisation, 0)} guaranteed gangs unused, "
+        f"{summary.waiting_jobs_count} jobs waiting"
+    )
+
+
 class Router:
     """Chooses a data centre for a job and hands the job to its placer."""
 
@@ -52,6 +83,22 @@
         self._job_table = job_table
         self._mailbox = mailbox
 
+    def _candidates_for(self, spec, excluded):
+        """Return the candidates where a job may ever run."""
+        candidates = self.candidates(excluded=excluded)
+        if is_reclaimable(spec):
+            return candidates
+        # Work that cannot be reclaimed runs on guaranteed capacity only.
+        configuration = self._configuration.current
+        data_centres = self._membership.all_data_centres()
+        return [
+            candidate
+            for candidate in candidates
+            if data_centre_shares(
+                configuration, data_centres, candidate.data_centre
+            ).get(spec.organisation)
+        ] or candidates
+
     def candidates(self, *, excluded=()):
         """Return the data centres in service that have a live placer."""
         out = self._configuration.data_centres_out()
@@ -71,16 +118,21 @@
 
     def choose(self, spec, job_id, *, excluded=()):
         """Return the data centre to try next, or None; logs the decision."""
+        configuration = self._configuration.current
+        plan_name = configuration.plan_by_organisation.get(spec.organisation)
+        if plan_name is None:
+            return None
         ranked = rank_candidates(
-            self.candidates(excluded=excluded),
+            self._candidates_for(spec, excluded),
             spec,
+            configuration.plans[plan_name],
             own_data_centre=self._settings.data_centre,
         )
         choice = ranked[0].data_centre if ranked else None
         log_decision(
             "routing",
             choice=choice,
-            reason="fits free capacity, then least load" if ranked else "none left",
+            reason=_routing_reason(ranked[0], spec) if ranked else "none left",
             runners_up=[candidate.data_centre for candidate in ranked[1:]],
             job_id=job_id,
             organisation=spec.organisation,
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,69 @@
+"""Ranking of data centres for a job."""
+
+from kingcuptrack.coordination.routing import Candidate, rank_candidates
+from kingcuptrack.state.jobs import JobSpec
+from kingcuptrack.state.plans import Plan
+from kingcuptrack.state.scheduling import CapacitySummary
+from kingcuptrack.state.shapes import Shape
+
+from .support import check, function_tests
+
+load_tests = function_tests(__name__)
+
+PLAN = Plan(
+    name="studio",
+    guaranteed_gangs_count=1,
+    guaranteed_tasks_count=2,
+    guaranteed_shape=Shape(accelerators_count=8),
+    quota_accelerators_count=64,
+)
+
+
+def rank(spec_fields, **free_and_unused):
+    """Return the order of data centres given (adjacent free, unused, waiting)."""
+    candidates = [
+        Candidate(
+            data_centre=name,
+            placer_id=f"{name}-1",
+            summary=CapacitySummary(
+                data_centre=name,
+                free_accelerators_count=64,
+                total_accelerators_count=64,
+                waiting_jobs_count=waiting_count,
+                largest_free_accelerators_count=8,
+                largest_free_gang_accelerators_count=free_count,
+                unused_guaranteed_gangs_count_by_organisation={"design": unused_count},
+            ),
+        )
+        for name, (free_count, unused_count, waiting_count) in free_and_unused.items()
+    ]
+    spec = JobSpec(
+        organisation="design",
+        tasks_count=2,
+        shape=Shape(accelerators_count=8),
+        **spec_fields,
+    )
+    ranked = rank_candidates(candidates, spec, PLAN, own_data_centre="own")
+    return [candidate.data_centre for candidate in ranked]
+
+
+def test_scattered_free_capacity_does_not_attract_a_gang():
+    """Guards against routing by the sum of free accelerators."""
+    check.assertEqual(rank({}, own=(8, 0, 0), far=(16, 0, 0)), ["far", "own"])
+
+
+def test_the_own_data_centre_is_preferred_among_equals():
+    """Guards against needless traffic between data centres."""
+    check.assertEqual(rank({}, far=(64, 0, 0), own=(16, 0, 0)), ["own", "far"])
+
+
+def test_work_that_cannot_be_reclaimed_goes_to_its_guarantee():
+    """Guards against a data centre that must refuse being tried before others."""
+    ranked = rank({"is_repeatable": False}, own=(64, 0, 0), far=(0, 1, 9))
+    check.assertEqual(ranked, ["far", "own"])
+
+
+def test_a_full_cluster_is_entered_by_guarantee_then_shortest_queue():
+    """Guards against a long queue where a guaranteed gang could be reclaimed."""
+    ranked = rank({}, own=(0, 0, 1), far=(0, 0, 9), other=(0, 1, 50))
+    check.assertEqual(ranked, ["other", "own", "far"])
