Break up free workers in the fullest rack

Cause: best fit by rack decided between equally tight workers by their position, so that single tasks broke up wholly free racks. Change: ties go to the rack with the fewest free accelerators.

--- a/kingcuptrack/state/placement.py
+++ b/kingcuptrack/state/placement.py
@@ -41,7 +41,7 @@
     return level
 
 
-def make_placement(score, order):
+def make_placement(score, order, rack_score=None):
     """Return a placement function.
 
     Parameters
@@ -51,26 +51,51 @@
     order : callable
         ``order(counts)`` of ``(worker id, fit count)`` pairs in one domain; tasks
         go to the first workers.
+    rack_score : callable, optional
+        ``rack_score(free, worker_ids)`` of the rack of a worker; decides between
+        workers of equal score.
     """
 
     def place(racks, free, needs, tasks_count, levels):
         for level in levels:
-            if level == Level.DATA_CENTRE:
-                return _place_across(racks, free, needs, tasks_count)
-            best = None
-            for worker_ids in domains(racks, level):
-                total = 0
-                for worker_id in worker_ids:
-                    total += fit_count(free[worker_id], needs)
-                if total >= tasks_count:
-                    key = score(free, worker_ids, total)
-                    if best is None or key < best[0]:
-                        best = (key, worker_ids)
-            if best is not None:
-                counts = _counts(best[1], free, needs)
-                return fill(order(counts), tasks_count)
+            if level == Level.WORKER:
+                found = _place_on_worker(racks, free, needs, tasks_count)
+            elif level == Level.RACK:
+                found = _place_in_rack(racks, free, needs, tasks_count)
+            else:
+                found = _place_across(racks, free, needs, tasks_count)
+            if found is not None:
+                return found
         return None
 
+    def _place_on_worker(racks, free, needs, tasks_count):
+        best = None
+        for rack_ids in racks.values():
+            rack_key = None
+            for worker_id in rack_ids:
+                count = fit_count(free[worker_id], needs)
+                if count < tasks_count:
+                    continue
+                key = score(free, (worker_id,), count)
+                if best is not None and key > best[0]:
+                    continue
+                if rack_key is None and rack_score is not None:
+                    rack_key = rack_score(free, rack_ids)
+                if best is None or (key, rack_key or 0) < best[:2]:
+                    best = (key, rack_key or 0, worker_id)
+        return None if best is None else (best[2],) * tasks_count
+
+    def _place_in_rack(racks, free, needs, tasks_count):
+        best = None
+        for worker_ids in racks.values():
+            counts = _counts(worker_ids, free, needs)
+            total = sum(count for _, count in counts)
+            if total >= tasks_count:
+                key = score(free, worker_ids, total)
+                if best is None or key < best[0]:
+                    best = (key, counts)
+        return None if best is None else fill(order(best[1]), tasks_count)
+
     def _place_across(racks, free, needs, tasks_count):
         by_rack = []
         for worker_ids in racks.values():
@@ -124,7 +149,13 @@
     return sorted(counts, key=lambda item: item[1])
 
 
-best_fit_by_rack = make_placement(_tightest, _fullest_first)
+def _free_accelerators(free, worker_ids):
+    return sum(free[worker_id][ACCELERATORS] for worker_id in worker_ids)
+
+
+# A worker is broken up in the rack with the least left, so that whole racks stay
+# whole for large gangs.
+best_fit_by_rack = make_placement(_tightest, _fullest_first, _free_accelerators)
 first_fit = make_placement(lambda free, worker_ids, total: 0, lambda counts: counts)
 
 
