--- /dev/null
+++ b/bench/decision.py
@@ -0,0 +1,185 @@
+"""Processor time of one placement decision.
+
+A decision is one call of `decide` that places one gang, or finds that nothing can
+be placed, in a data centre where about nine tenths of the accelerators are used.
+"""
+
+import json
+import random
+import statistics
+import time
+
+from kingcuptrack.state.jobs import JobSpec, Urgency
+from kingcuptrack.state.plans import Configuration, Plan
+from kingcuptrack.state.scheduling import (
+    QueuedJob,
+    Scheduler,
+    add_job,
+    decide,
+    gang_ended,
+    remove_job,
+    set_configuration,
+    set_worker,
+)
+from kingcuptrack.state.shapes import Capacity, Shape, Worker
+
+WORKERS_COUNTS = (24, 105, 2100)
+QUEUE_LENGTHS = (10, 1000, 10_000)
+ORGANISATIONS_COUNT = 50
+REPETITIONS_COUNT = 20
+GIB = 2**30
+
+
+def make_workers(count, *, rack_size=8, accelerators_count=8):
+    """Return workers of today's size."""
+    capacity = Capacity(
+        accelerators_count=accelerators_count,
+        cores_count=32,
+        memory_bytes=64 * GIB,
+        connections_count=64,
+        slots_count=8,
+    )
+    return [
+        Worker(
+            worker_id=f"w{index:04}",
+            data_centre="kumasi",
+            rack=f"r{index // rack_size:03}",
+            address="127.0.0.1:1",
+            incarnation="1",
+            capacity=capacity,
+        )
+        for index in range(count)
+    ]
+
+
+def make_job(job_id, organisation, tasks_count, accelerators_count, **changes):
+    """Return a job whose tasks use one core for each accelerator."""
+    shape = Shape(
+        accelerators_count=accelerators_count,
+        cores_count=accelerators_count,
+        memory_bytes=accelerators_count * GIB,
+    )
+    queued_seconds = changes.pop("queued_seconds", 0.0)
+    spec = JobSpec(
+        organisation=organisation, tasks_count=tasks_count, shape=shape, **changes
+    )
+    return QueuedJob(job_id=job_id, spec=spec, queued_seconds=queued_seconds)
+
+
+def make_scheduler(workers_count, **settings):
+    """Return a scheduler whose organisations are guaranteed half of all workers."""
+    scheduler = Scheduler(data_centre="kumasi", queue_limit_count=100_000, **settings)
+    for worker in make_workers(workers_count):
+        set_worker(scheduler, worker)
+    gangs_count = max(1, workers_count // 4 // ORGANISATIONS_COUNT)
+    organisations_count = min(ORGANISATIONS_COUNT, workers_count // 4)
+    plan = Plan(
+        name="team",
+        guaranteed_gangs_count=gangs_count,
+        guaranteed_tasks_count=2,
+        guaranteed_shape=make_job("", "", 1, 8).spec.shape,
+        quota_accelerators_count=1_000_000,
+    )
+    names = [f"team-{index}" for index in range(organisations_count)]
+    configuration = Configuration(
+        version=1,
+        plans={"team": plan},
+        plan_by_organisation=dict.fromkeys(names, "team"),
+    )
+    set_configuration(scheduler, configuration)
+    return scheduler, names
+
+
+def fill(scheduler, names, random_source):
+    """Use the accelerators with borrowed gangs of several sizes, then free a tenth."""
+    index = 0
+    while True:
+        for _ in range(50):
+            index += 1
+            tasks_count = random_source.choice((4, 8, 16))
+            job = make_job(f"fill-{index}", random_source.choice(names), tasks_count, 2)
+            add_job(scheduler, job, now_seconds=0.0)
+        if not decide(scheduler, now_seconds=0.0):
+            break
+    for job_id in list(scheduler.queues.queue_by_job):
+        remove_job(scheduler, job_id)
+    gangs = sorted(scheduler.gangs)
+    for job_id in random_source.sample(gangs, max(1, len(gangs) // 10)):
+        gang_ended(scheduler, job_id, now_seconds=1.0, succeeded=True)
+
+
+def measure(scheduler, make):
+    """Return processor milliseconds of decisions with the job of ``make`` added."""
+    samples = []
+    for index in range(REPETITIONS_COUNT):
+        job = make(index)
+        if job is not None:
+            add_job(scheduler, job, now_seconds=2.0)
+        started = time.process_time()
+        decisions = decide(scheduler, now_seconds=2.0)
+        samples.append(1000 * (time.process_time() - started))
+        if job is not None and job.job_id in scheduler.gangs:
+            gang_ended(scheduler, job.job_id, now_seconds=2.0, succeeded=True)
+        elif job is not None:
+            remove_job(scheduler, job.job_id)
+        for decision in decisions:
+            if hasattr(decision, "for_job_id"):
+                gang = scheduler.gangs[decision.job_id]
+                gang_ended(scheduler, decision.job_id, now_seconds=2.0)
+                add_job(scheduler, gang.job, now_seconds=2.0)
+        # Victims run again before the next sample.
+        decide(scheduler, now_seconds=2.0)
+    return {
+        "median_milliseconds": round(statistics.median(samples), 3),
+        "largest_milliseconds": round(max(samples), 3),
+    }
+
+
+def run_case(workers_count, queue_length):
+    """Return the processor time of each kind of decision."""
+    random_source = random.Random(workers_count)
+    scheduler, names = make_scheduler(workers_count)
+    fill(scheduler, names, random_source)
+    # Waiting jobs that fit nowhere at present, of four sizes.
+    tasks_counts = (workers_count, workers_count - 1, workers_count - 2, 20)
+    for index in range(queue_length):
+        job = make_job(
+            f"wait-{index}",
+            names[index % len(names)],
+            min(256, tasks_counts[index % 4]),
+            8,
+        )
+        add_job(scheduler, job, now_seconds=2.0)
+    decide(scheduler, now_seconds=2.0)
+    waiting_count = len(scheduler.queues.queue_by_job)
+    urgent = {"urgency": Urgency.URGENT}
+    cases = {
+        "idle": lambda index: None,
+        "borrowed": lambda index: make_job(f"b-{index}", names[0], 1, 1, **urgent),
+        "urgent_reclaim": lambda index: make_job(
+            f"u-{index}", names[1], 3, 8, **urgent
+        ),
+        "guaranteed": lambda index: make_job(
+            f"g-{index}", names[2], 2, 8, is_repeatable=False
+        ),
+    }
+    result = {"workers_count": workers_count, "queue_length": waiting_count}
+    for name, make in cases.items():
+        for key, value in measure(scheduler, make).items():
+            result[f"{name}_{key}"] = value
+    return result
+
+
+def main():
+    """Print one line for each case and a JSON object as the last line."""
+    results = []
+    for workers_count in WORKERS_COUNTS:
+        for queue_length in QUEUE_LENGTHS:
+            result = run_case(workers_count, queue_length)
+            results.append(result)
+            print("  ".join(f"{key}={value}" for key, value in result.items()))
+    print(json.dumps({"benchmark": "decision", "cases": results}))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/fragmentation.py
@@ -0,0 +1,156 @@
+"""Fragmentation of one seeded trace under three placement policies.
+
+The largest placeable gang consists of whole workers of one rack; see
+`kingcuptrack.state.placement.unfragmented_ratio`.
+"""
+
+import heapq
+import json
+import random
+import statistics
+
+from kingcuptrack.state.model import whole_capacities
+from kingcuptrack.state.placement import (
+    best_fit_by_rack,
+    first_fit,
+    largest_placeable_count,
+    make_random_fit,
+    unfragmented_ratio,
+)
+from kingcuptrack.state.plans import Configuration, Plan
+from kingcuptrack.state.scheduling import (
+    ReclaimGang,
+    Scheduler,
+    add_job,
+    decide,
+    gang_ended,
+    set_configuration,
+    set_worker,
+)
+
+from .decision import make_job, make_workers
+
+SEEDS = (1, 2, 3)
+WORKERS_COUNT = 24
+STEPS_COUNT = 4000
+SAMPLE_EVERY_COUNT = 500
+# Uses about four fifths of the accelerators; much less leaves nothing to compare.
+MEAN_ARRIVAL_GAP_SECONDS = 4.0
+# Tasks and accelerators of one task: checks, previews, fits, renders.
+SIZES = ((1, 1), (1, 2), (1, 4), (2, 2), (1, 8), (2, 8), (4, 8))
+WEIGHTS = (30, 20, 15, 10, 10, 10, 5)
+
+
+def make_trace(seed):
+    """Return jobs as ``(arrival, run time, tasks, accelerators)`` in seconds."""
+    random_source = random.Random(seed)
+    arrival_seconds = 0.0
+    trace = []
+    for _ in range(STEPS_COUNT):
+        arrival_seconds += random_source.expovariate(1 / MEAN_ARRIVAL_GAP_SECONDS)
+        tasks_count, accelerators_count = random_source.choices(SIZES, WEIGHTS)[0]
+        run_seconds = random_source.lognormvariate(4.0, 1.0)
+        trace.append((arrival_seconds, run_seconds, tasks_count, accelerators_count))
+    return trace
+
+
+def run_policy(place, trace):
+    """Return samples over time and waits of the gangs of whole workers."""
+    scheduler = Scheduler(data_centre="kumasi", place=place, queue_limit_count=100_000)
+    for worker in make_workers(WORKERS_COUNT):
+        set_worker(scheduler, worker)
+    plan = Plan(
+        name="all",
+        guaranteed_gangs_count=0,
+        guaranteed_tasks_count=1,
+        guaranteed_shape=make_job("", "", 1, 8).spec.shape,
+        quota_accelerators_count=1_000_000,
+    )
+    set_configuration(
+        scheduler,
+        Configuration(
+            version=1, plans={"all": plan}, plan_by_organisation={"a": "all"}
+        ),
+    )
+    run_seconds_by_job = {}
+    ends = []
+    ratios, largest, frees, waits = [], [], [], []
+
+    def start_jobs(now_seconds):
+        for decision in decide(scheduler, now_seconds=now_seconds):
+            if isinstance(decision, ReclaimGang):
+                # Backfill on reserved workers: stopped at once, runs again in full.
+                job = scheduler.gangs[decision.job_id].job
+                gang_ended(scheduler, job.job_id, now_seconds=now_seconds)
+                add_job(scheduler, job, now_seconds=now_seconds)
+                continue
+            gang = decision.gang
+            end_seconds = now_seconds + run_seconds_by_job[gang.job.job_id]
+            heapq.heappush(ends, (end_seconds, gang.job.job_id, now_seconds))
+            spec = gang.job.spec
+            if spec.tasks_count * spec.shape.accelerators_count >= 16:
+                waits.append(now_seconds - gang.job.queued_seconds)
+
+    for index, (arrival, run_seconds, tasks_count, accelerators_count) in enumerate(
+        trace
+    ):
+        while ends and ends[0][0] <= arrival:
+            end_seconds, job_id, placed_seconds = heapq.heappop(ends)
+            gang = scheduler.gangs.get(job_id)
+            if gang is None or gang.placed_seconds != placed_seconds:
+                continue
+            gang_ended(scheduler, job_id, now_seconds=end_seconds, succeeded=True)
+            start_jobs(end_seconds)
+        job_id = f"job-{index}"
+        run_seconds_by_job[job_id] = run_seconds
+        job = make_job(
+            job_id, "a", tasks_count, accelerators_count, queued_seconds=arrival
+        )
+        add_job(scheduler, job, now_seconds=arrival)
+        start_jobs(arrival)
+        cluster = scheduler.cluster
+        whole = whole_capacities(scheduler)
+        free = cluster.now.free
+        ratios.append(unfragmented_ratio(cluster.racks, free, whole))
+        largest.append(largest_placeable_count(cluster.racks, free, whole))
+        frees.append(sum(amounts[0] for amounts in free.values()))
+    return ratios, largest, frees, waits
+
+
+def main():
+    """Print the measure over time and a JSON object as the last line."""
+    cases = []
+    for seed in SEEDS:
+        trace = make_trace(seed)
+        policies = {
+            "best_fit_by_rack": best_fit_by_rack,
+            "first_fit": first_fit,
+            "random": make_random_fit(random.Random(seed)),
+        }
+        for name, place in policies.items():
+            ratios, largest, frees, waits = run_policy(place, trace)
+            over_time = [
+                round(statistics.mean(ratios[start : start + SAMPLE_EVERY_COUNT]), 3)
+                for start in range(0, len(ratios), SAMPLE_EVERY_COUNT)
+            ]
+            case = {
+                "seed": seed,
+                "policy": name,
+                "mean_largest_placeable_per_free_accelerator": round(
+                    statistics.mean(ratios), 4
+                ),
+                "mean_largest_placeable_accelerators_count": round(
+                    statistics.mean(largest), 2
+                ),
+                "mean_free_accelerators_count": round(statistics.mean(frees), 2),
+                "large_gang_mean_wait_seconds": round(statistics.mean(waits), 2),
+                "large_gangs_started_count": len(waits),
+                "largest_placeable_per_free_accelerator_over_time": over_time,
+            }
+            cases.append(case)
+            print("  ".join(f"{key}={value}" for key, value in case.items()))
+    print(json.dumps({"benchmark": "fragmentation", "cases": cases}))
+
+
+if __name__ == "__main__":
+    main()
