Test the placement rules; urgent work may take a patient slot

Cause: an urgent job waited while every accelerator was held by guaranteed or urgent gangs, among them patient gangs in the slots of its own organisation. Ruled out: taking such a slot before trying to borrow, which would strip a patient gang of its guarantee while capacity is free. Change: as a last resort an urgent job takes the slot of a patient reclaimable gang of its organisation. Rules of the scheduler have one test each.

--- a/kingcuptrack/state/borrowed.py
+++ b/kingcuptrack/state/borrowed.py
@@ -3,6 +3,8 @@
 from . import health as health_module
 from .cluster import ACCELERATORS, fit_count, task_needs
 from .commitments import excluded_worker_ids, hold_capacity, reclaim_cost, start_gang
+from .guaranteed import attempt_guaranteed
+from .guarantees import is_within_guarantee
 from .jobs import Urgency
 from .limits import fitting_tasks_count, quota_excess, refusal
 from .model import Use, adjacency_level, is_reclaimable, plan_of, whole_capacities
@@ -43,6 +45,12 @@
         return True
     if is_urgent and _reclaim_for_urgent(scheduler, round_, job, needs):
         return True
+    if (
+        is_urgent
+        and is_within_guarantee(plan, spec)
+        and attempt_guaranteed(scheduler, round_, job, plan, is_last_resort=True)
+    ):
+        return True
     scheduler.reasons[job_id] = (
         f"no room for {spec.tasks_count} tasks of its shape in the free capacity"
     )
--- a/kingcuptrack/state/guaranteed.py
+++ b/kingcuptrack/state/guaranteed.py
@@ -16,9 +16,12 @@
 from .slots import apply_slot_choice, choose_slot
 
 
-def attempt_guaranteed(scheduler, round_, job, plan):
+def attempt_guaranteed(scheduler, round_, job, plan, *, is_last_resort=False):
     """Start a job in an unused slot of its organisation, or reclaim one for it.
 
+    As a last resort an urgent job takes the slot of a patient gang of its
+    organisation, whatever its size.
+
     Returns
     -------
     bool
@@ -27,7 +30,7 @@
     organisation = job.spec.organisation
     slots = unused_slots(scheduler.packing, organisation)
     if not slots:
-        slots = _slots_of_smaller(scheduler, job)
+        slots = _slots_of_lesser(scheduler, job, is_last_resort)
     if not slots:
         if not is_reclaimable(job.spec):
             scheduler.reasons[job.job_id] = no_slot_reason(scheduler, organisation)
@@ -80,16 +83,20 @@
     return True
 
 
-def _slots_of_smaller(scheduler, job):
+def _slots_of_lesser(scheduler, job, is_last_resort):
     """Return the own slot whose gang can borrow instead and matters less than a job.
 
     Without this, small jobs of an organisation would occupy all of its guaranteed
     gangs and keep out the large or irreclaimable gangs that need them. The order
-    by rank excludes cycles.
+    by rank, and that patient jobs never displace urgent ones, exclude cycles.
     """
 
     def rank(spec):
-        return (not is_reclaimable(spec), gang_accelerators_count(spec))
+        return (
+            not is_reclaimable(spec),
+            is_last_resort and spec.urgency == Urgency.URGENT,
+            gang_accelerators_count(spec),
+        )
 
     found = []
     for slot in scheduler.packing.slots.get(job.spec.organisation, ()):
--- /dev/null
+++ b/tests/test_scheduling.py
@@ -0,0 +1,277 @@
+"""Rules of the placement policy, one by one."""
+
+from kingcuptrack.state.scheduling import (
+    ReclaimGang,
+    StartGang,
+    add_job,
+    adopt_gang,
+    capacity_summary,
+    decide,
+    failure_verdict,
+    gang_ended,
+    guarantee_shortfalls,
+    never_fitting_jobs,
+    quarantined_worker_ids,
+    remove_job,
+    remove_worker,
+    set_configuration,
+    set_data_centres,
+    set_remote_use,
+    set_worker,
+    waiting_reason,
+)
+
+from .policy import (
+    add_jobs,
+    make_configuration,
+    make_job,
+    make_plan,
+    make_scheduler,
+    make_worker,
+)
+from .support import check, function_tests
+
+load_tests = function_tests(__name__)
+
+ONE = make_plan(1, 1, 8)
+NONE = make_plan(0, 1, 8)
+
+
+def run(scheduler, now_seconds=0.0):
+    """Return the ids started and reclaimed by one decision."""
+    decisions = decide(scheduler, now_seconds=now_seconds)
+    started = [
+        item.gang.job.job_id for item in decisions if isinstance(item, StartGang)
+    ]
+    reclaimed = [item.job_id for item in decisions if isinstance(item, ReclaimGang)]
+    return [gang.job.job_id for gang in starts], reclaimed
+
+
+def end(scheduler, job_id, now_seconds=0.0, *, requeue=False, **result):
+    """End a gang as the placer does."""
+    job = scheduler.gangs[job_id].job
+    gang_ended(scheduler, job_id, now_seconds=now_seconds, **result)
+    if requeue:
+        check.assertIsNone(add_job(scheduler, job, now_seconds=now_seconds))
+
+
+def test_guaranteed_job_reclaims_once_and_keeps_what_is_promised():
+    """Guards against repeated reclaims and capacity given away meanwhile."""
+    scheduler = make_scheduler(1, design=ONE, sales=NONE)
+    add_jobs(scheduler, make_job("old", "sales", 1, 8))
+    check.assertEqual(run(scheduler), (["old"], []))
+    add_jobs(scheduler, make_job("g", "design", 1, 8, is_repeatable=False))
+    check.assertEqual(run(scheduler, 1.0), ([], ["old"]))
+    check.assertIn("old", waiting_reason(scheduler, "g"))
+    add_jobs(scheduler, make_job("late", "sales", 1, 8, urgent=True))
+    check.assertEqual(run(scheduler, 2.0), ([], []))
+    end(scheduler, "old", 3.0, requeue=True)
+    check.assertEqual(run(scheduler, 3.0), (["g"], []))
+    end(scheduler, "g", 4.0, succeeded=True)
+    check.assertEqual(run(scheduler, 4.0), (["late"], []))
+    end(scheduler, "late", 5.0, succeeded=True)
+    check.assertEqual(run(scheduler, 5.0), (["old"], []))
+
+
+def test_urgent_borrowed_work_reclaims_the_cheapest_patient_gang():
+    """Guards against needless loss of work, and against reclaim of urgent work."""
+    scheduler = make_scheduler(2, sales=NONE, checks=NONE)
+    add_jobs(scheduler, make_job("urgent", "sales", 1, 8, urgent=True))
+    add_jobs(scheduler, make_job("long", "sales", 1, 4))
+    run(scheduler)
+    add_jobs(scheduler, make_job("short", "sales", 1, 4))
+    run(scheduler, 500.0)
+    add_jobs(scheduler, make_job("u", "checks", 1, 4, urgent=True))
+    check.assertEqual(run(scheduler, 600.0), ([], ["short"]))
+    add_jobs(scheduler, make_job("p", "checks", 1, 8))
+    add_jobs(scheduler, make_job("v", "checks", 1, 8, urgent=True))
+    check.assertEqual(run(scheduler, 601.0), ([], []))
+    check.assertIn("patient borrowed", waiting_reason(scheduler, "v"))
+
+
+def test_quota_is_an_upper_limit_that_guaranteed_work_may_enforce():
+    """Guards against use beyond the quota, here and with other data centres."""
+    scheduler = make_scheduler(4, design=make_plan(1, 1, 8, quota=16))
+    add_jobs(scheduler, *(make_job(str(index), "design", 2, 4) for index in range(3)))
+    check.assertEqual(run(scheduler), (["0", "1"], []))
+    check.assertIn("16 accelerators of its quota of 16", waiting_reason(scheduler, "2"))
+    add_jobs(scheduler, make_job("g", "design", 1, 8, is_repeatable=False))
+    check.assertEqual(run(scheduler), ([], ["0"]))
+    end(scheduler, "0")
+    check.assertEqual(run(scheduler), (["g"], []))
+    end(scheduler, "1", succeeded=True)
+    set_remote_use(scheduler, {"design": 8})
+    check.assertEqual(run(scheduler), ([], []))
+
+
+def test_refusals_name_the_limit():
+    """Guards against jobs that wait for ever, and against vague refusals."""
+    scheduler = make_scheduler(4, design=make_plan(1, 2, 8, quota=64), sales=NONE)
+    cases = (
+        (make_job("a", "nobody", 1, 1), "unknown_organisation", "nobody"),
+        (make_job("b", "design", 9, 8), "never_fits", "the quota of plan 1x2x8 is 64"),
+        (make_job("c", "design", 5, 8), "never_fits", "at most 4"),
+        (make_job("d", "design", 257, 0), "never_fits", "1 to 256"),
+        (make_job("e", "design", 3, 8, is_repeatable=False), "never_guaranteed", "2 t"),
+        (make_job("f", "sales", 1, 1, is_repeatable=False), "never_guaranteed", "0x"),
+    )
+    for job, code, text in cases:
+        refused = add_job(scheduler, job, now_seconds=0.0)
+        check.assertEqual(refused.code, code)
+        check.assertIn(text, refused.message)
+    fits = make_job("g", "design", 4, 8, is_checkpointable=True, is_repeatable=False)
+    check.assertIsNone(add_job(scheduler, fits, now_seconds=0.0))
+    set_configuration(scheduler, make_configuration(2, design=ONE, out=("kumasi",)))
+    check.assertEqual(run(scheduler), ([], []))
+    check.assertIn("out of service", waiting_reason(scheduler, "g"))
+    set_configuration(
+        scheduler, make_configuration(3, design=make_plan(1, 1, 8, quota=9))
+    )
+    check.assertEqual([item[0] for item in never_fitting_jobs(scheduler)], [fits])
+
+
+def test_irreclaimable_work_waits_for_guaranteed_capacity():
+    """Guards against work on borrowed capacity that could not be taken back."""
+    scheduler = make_scheduler(4, design=ONE)
+    jobs = [make_job(name, "design", 1, 8, is_repeatable=False) for name in "ab"]
+    add_jobs(scheduler, *jobs)
+    check.assertEqual(run(scheduler), (["a"], []))
+    check.assertIn("neither repeatable nor", waiting_reason(scheduler, "b"))
+    set_data_centres(scheduler, ["kumasi", "accra", "lome"])
+    end(scheduler, "a", succeeded=True)
+    shares = capacity_summary(scheduler).unused_guaranteed_gangs_count_by_organisation
+    check.assertEqual(len(run(scheduler)[0]), shares["design"])
+
+
+def test_small_gang_leaves_its_whole_slot_to_the_organisation():
+    """Guards against a slot broken up while a smaller gang runs in it."""
+    plans = {"a": make_plan(1, 4, 8), "b": ONE, "c": make_plan(1, 4, 8)}
+    scheduler = make_scheduler(9, **plans)
+    add_jobs(scheduler, make_job("small", "a", 1, 8), make_job("b", "b", 1, 8))
+    check.assertEqual(len(run(scheduler)[0]), 2)
+    end(scheduler, "small", succeeded=True)
+    add_jobs(scheduler, make_job("whole", "a", 4, 8), make_job("other", "c", 4, 8))
+    check.assertEqual(len(run(scheduler)[0]), 2)
+    check.assertTrue(all(gang.is_guaranteed for gang in scheduler.gangs.values()))
+
+
+def test_larger_gang_takes_the_slot_of_a_smaller_one():
+    """Guards against guarantees used up by small jobs of the same organisation."""
+    scheduler = make_scheduler(2, design=make_plan(1, 2, 8))
+    add_jobs(scheduler, make_job("small", "design", 1, 8))
+    run(scheduler)
+    add_jobs(scheduler, make_job("large", "design", 2, 8, is_repeatable=False))
+    check.assertEqual(run(scheduler), ([], ["small"]))
+    end(scheduler, "small", requeue=True)
+    check.assertEqual(run(scheduler), (["large"], []))
+
+
+def test_lost_and_leaving_workers():
+    """Guards against starts on leaving workers and against hidden shortfalls."""
+    scheduler = make_scheduler(2, design=make_plan(2, 1, 8))
+    check.assertEqual(guarantee_shortfalls(scheduler), [])
+    set_worker(scheduler, make_worker(0, is_leaving=True))
+    add_jobs(scheduler, *(make_job(name, "design", 1, 8) for name in "ab"))
+    check.assertEqual(run(scheduler), (["a"], []))
+    check.assertEqual(scheduler.gangs["a"].worker_ids, ("w001",))
+    (missing,) = guarantee_shortfalls(scheduler)
+    check.assertEqual((missing.gangs_count, missing.accelerators_count), (1, 8))
+    remove_worker(scheduler, "w000")
+    set_worker(scheduler, make_worker(0))
+    check.assertEqual(guarantee_shortfalls(scheduler), [])
+    check.assertEqual(run(scheduler), (["b"], []))
+
+
+def test_large_gang_is_not_starved_by_backfill():
+    """Guards against a large patient gang that never finds its workers free."""
+    settings = {"reservation_after_seconds": 100.0}
+    scheduler = make_scheduler(2, settings=settings, design=NONE, sales=NONE)
+    add_jobs(scheduler, make_job("s1", "sales", 1, 8), make_job("s2", "sales", 1, 8))
+    run(scheduler)
+    add_jobs(scheduler, make_job("large", "design", 2, 8, queued_seconds=1.0))
+    run(scheduler, 200.0)
+    check.assertIn("reserved", waiting_reason(scheduler, "large"))
+    add_jobs(scheduler, make_job("fill", "sales", 1, 8, queued_seconds=200.0))
+    end(scheduler, "s1", 201.0, succeeded=True)
+    check.assertEqual(run(scheduler, 201.0), (["fill"], []))
+    check.assertEqual(run(scheduler, 202.0), ([], []))
+    end(scheduler, "s2", 203.0, succeeded=True)
+    check.assertEqual(run(scheduler, 203.0), ([], ["fill"]))
+    end(scheduler, "fill", 204.0, requeue=True)
+    check.assertEqual(run(scheduler, 204.0), (["large"], []))
+
+
+def test_failing_worker_is_avoided_quarantined_and_probed():
+    """Guards against a worker that fails everything it starts."""
+    scheduler = make_scheduler(2, design=NONE)
+    for index, name in enumerate("abc"):
+        now_seconds = 20.0 * index
+        job = make_job(name, "design", 1, 8)
+        add_job(scheduler, job, now_seconds=now_seconds)
+        run(scheduler, now_seconds)
+        check.assertEqual(scheduler.gangs[name].worker_ids, ("w000",))
+        failed = {"failed_worker_ids": ("w000",), "tasks_failed": True}
+        end(scheduler, name, now_seconds, requeue=True, **failed)
+        check.assertIn("delayed", waiting_reason(scheduler, name))
+        run(scheduler, now_seconds + 5.0)
+        check.assertEqual(scheduler.gangs[name].worker_ids, ("w001",))
+        end(scheduler, name, now_seconds + 6.0, succeeded=True)
+    check.assertEqual(quarantined_worker_ids(scheduler), ("w000",))
+    add_jobs(scheduler, *(make_job(name, "design", 1, 8) for name in "de"))
+    check.assertEqual(run(scheduler, 50.0), (["d"], []))
+    check.assertEqual(run(scheduler, 75.0), (["e"], []))
+    end(scheduler, "e", 76.0, succeeded=True)
+    check.assertEqual(quarantined_worker_ids(scheduler), ())
+
+
+def test_job_that_fails_everywhere_has_a_verdict():
+    """Guards against endless retries of a faulty job."""
+    scheduler = make_scheduler(3, design=NONE)
+    add_jobs(scheduler, make_job("bad", "design", 1, 8))
+    for index in range(3):
+        check.assertEqual(failure_verdict(scheduler, "bad"), "")
+        run(scheduler, 2.0 * index)
+        failed = scheduler.gangs["bad"].worker_ids
+        result = {"failed_worker_ids": failed, "tasks_failed": True}
+        end(scheduler, "bad", 2.0 * index, requeue=True, **result)
+    check.assertIn("3 healthy workers", failure_verdict(scheduler, "bad"))
+
+
+def test_fair_share_follows_weights():
+    """Guards against an organisation that takes everything by queueing first."""
+    plans = {"design": NONE, "sales": make_plan(0, 1, 8, weight=3.0)}
+    scheduler = make_scheduler(8, **plans)
+    for name in plans:
+        add_jobs(scheduler, *(make_job(f"{name}-{i}", name, 1, 8) for i in range(8)))
+    started = run(scheduler)[0]
+    check.assertEqual(sum(job_id.startswith("sales") for job_id in started), 6)
+
+
+def test_cost_of_a_decision_does_not_depend_on_the_queue():
+    """Guards against decisions that scan the queue."""
+    for length in (100, 1000):
+        scheduler = make_scheduler(4, design=NONE)
+        calls = []
+        place = scheduler.place
+        scheduler.place = lambda *args, p=place, c=calls: c.append(1) or p(*args)
+        jobs = [
+            make_job(str(index), "design", 4, 5 + index % 4) for index in range(length)
+        ]
+        add_jobs(scheduler, *jobs)
+        run(scheduler)
+        for index in range(1, 50):
+            remove_job(scheduler, str(index))
+        check.assertLess(len(calls), 10)
+
+
+def test_adopted_gangs_keep_their_guarantee():
+    """Guards against a takeover that loses track of guaranteed gangs."""
+    first = make_scheduler(1, design=ONE, sales=ONE)
+    add_jobs(first, make_job("g", "design", 1, 2, is_repeatable=False))
+    run(first)
+    scheduler = make_scheduler(1, design=ONE, sales=NONE)
+    adopt_gang(scheduler, first.gangs["g"])
+    add_jobs(scheduler, make_job("b", "sales", 1, 6), make_job("next", "design", 1, 8))
+    check.assertEqual(run(scheduler), (["b"], []))
+    end(scheduler, "g", succeeded=True)
+    check.assertEqual(run(scheduler), ([], ["b"]))
