--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -44,7 +44,7 @@
         item.gang.job.job_id for item in decisions if isinstance(item, StartGang)
     ]
     reclaimed = [item.job_id for item in decisions if isinstance(item, ReclaimGang)]
-    return [gang.job.job_id for gang in starts], reclaimed
+    return started, reclaimed
 
 
 def end(scheduler, job_id, now_seconds=0.0, *, requeue=False, **result):
