Let an entry run with another placement policy

Cause: measurements have to compare the policy with baselines on real daemons. Change: the placer takes the decision function as an argument.

--- a/kingcuptrack/coordination/entry.py
+++ b/kingcuptrack/coordination/entry.py
@@ -14,6 +14,7 @@
     InstanceInfo,
     PushConfiguration,
 )
+from ..state.scheduling import decide
 from ..transport.http_client import HttpClient
 from ..transport.http_server import HttpServer
 from ..transport.instances import InstanceListClient
@@ -39,9 +40,17 @@
 
 
 class Entry:
-    """All parts of one entry instance."""
+    """All parts of one entry instance.
 
-    def __init__(self, *, settings):
+    Parameters
+    ----------
+    settings : Settings
+    decide : callable
+        Placement policy; measurements compare others with it.
+    """
+
+    def __init__(self, *, settings, decide=decide):
+        self._decide = decide
         self._settings = settings
         self._metrics = open_metrics(settings)
         self._is_leaving = False
@@ -108,7 +117,9 @@
             mailbox=self._mailbox,
             metrics=self._metrics,
         )
-        self._placer = Placer(context=context, move_job=self._router.move_job)
+        self._placer = Placer(
+            context=context, move_job=self._router.move_job, decide=self._decide
+        )
         self._front = Front(
             settings=settings,
             membership=self._membership,
--- a/kingcuptrack/coordination/placer.py
+++ b/kingcuptrack/coordination/placer.py
@@ -63,15 +63,26 @@
 
 
 class Placer:
-    """State and task of the placer; others talk to it through its mailbox."""
-
-    def __init__(self, *, context, move_job):
+    """State and task of the placer; others talk to it through its mailbox.
+
+    Parameters
+    ----------
+    context : PlacerContext
+    move_job : callable
+        Coroutine function that moves an `OpenJob` to another data centre; returns
+        whether it did.
+    decide : callable
+        Placement policy with the signature of `scheduling.decide`.
+    """
+
+    def __init__(self, *, context, move_job, decide=decide):
         self.context = context
         self.jobs = {}
         self.scheduler = self._new_scheduler()
         self.watch = None
         self.summary = None
         self._move_job = move_job
+        self._decide_placements = decide
         self._task_group = None
         self._next_scan_seconds = 0.0
         self._next_refresh_seconds = 0.0
@@ -165,7 +176,8 @@
         return counts
 
     def _decide(self, now_seconds):
-        for decision in decide(self.scheduler, now_seconds=now_seconds):
+        decisions = self._decide_placements(self.scheduler, now_seconds=now_seconds)
+        for decision in decisions:
             if isinstance(decision, StartGang):
                 self._begin_attempt(decision)
             elif isinstance(decision, ReclaimGang):
