--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -40,9 +40,7 @@
 def run(scheduler, now_seconds=0.0):
     """Return the ids started and reclaimed by one decision."""
     decisions = decide(scheduler, now_seconds=now_seconds)
-    started = [
-        item.gang.job.job_id for item in decisions if isinstance(item, StartGang)
-    ]
+    starts = [item.gang for item in decisions if isinstance(item, StartGang)]
     reclaimed = [item.job_id for item in decisions if isinstance(item, ReclaimGang)]
     return [gang.job.job_id for gang in starts], reclaimed
 
