Prove gangs, refusals and results under failure; mend what failed

Adds tests/oracle.py (judges from worker journals and callers' answers only), tests/shared.py (one deployment per module) and tests/test_attempts.py.

Faults found by these tests, and their causes: 1. A job whose claim conflicted with a claimed or moved row was requeued for ever (attempt 520 after 30 s), for example after all answers to its own claim had been lost. It is now dropped and taken in again from its row, as a takeover does. 2. A worker that had restarted empty broke every gang placed on it until it was idle for a poll (attempt 380 after 30 s): the placer compared the incarnation in renewals with its older record. The attempt now takes the incarnation from its first renewal, and renewals update the record. 3. 'not run' was told after a row insertion whose answer was lost and whose repetition met a 503. A refusal of a repeated write now stays unknown. 4. 'not run' was told to a retry of an accepted key during a table outage. The placers are asked about the key first; a differing body is a conflict there, too. 5. A cancellation of a job held in memory only said 'not run' while another data centre ran the same key. It now says unknown.

By reading, mended together: a not-run outcome could replace the row of another placer's claim; a retry at a leaving instance was told 'not run'; answers not yet in the table were dropped after 60 s; a takeover with newer reservations than the claimed attempt forgot that attempt; attempts started during an outage were forgotten by a takeover; the takeover read workers, list and rows one after the other (2.5 s + 1 s + 1.5 s and 1.5 s for each running gang during an outage, above the bound of 5 s).

Ruled out for 1: capacity (16 free workers), quarantine.

--- a/kingcuptrack/coordination/attempts.py
+++ b/kingcuptrack/coordination/attempts.py
@@ -12,16 +12,13 @@
 
 from ..outcomes import Done, Refused
 from ..state.jobs import FINAL_PHASES, Phase, Urgency
+from .claims import NOT_RUN_PHASES
 from .gangs import gang_progress
-from .open_jobs import GangEnded, JobEnded, make_answer, make_row
+from .open_jobs import GangEnded, JobDropped, JobEnded, make_answer, make_row
 
 RECORD_RETRY_MINIMUM_SECONDS = 0.5
 RECORD_RETRY_MAXIMUM_SECONDS = 10.0
 
-# Outcomes that promise that the job never runs. They are told only once the row says
-# so, since a later placer would otherwise find the job open and run it.
-NOT_RUN_PHASES = frozenset({Phase.CANCELLED, Phase.REFUSED})
-
 
 async def run_attempt(context, watch, job, run):
     """Run an attempt and post the event that it ends with."""
@@ -41,8 +38,9 @@
 
     Returns
     -------
-    answer : JobAnswer
-        Taken from the row that stands, if another one was final first.
+    answer : JobAnswer or None
+        Taken from the row that stands, if another one was final first. None if the
+        row belongs to another attempt.
     is_written : bool
     """
     outcome = await context.job_table.finish(row, expected_version=job.row_version)
@@ -51,20 +49,24 @@
         return make_answer(row, is_recorded=True), True
     if isinstance(outcome, Refused) and outcome.code == "conflict":
         current = outcome.detail
-        if current is not None and current.row.phase in FINAL_PHASES:
-            results = await context.job_table.read_results(current.row)
-            if isinstance(results, Done):
-                standing = attrs.evolve(current.row, results=results.value)
-                return make_answer(standing, is_recorded=True), True
+        results = await context.job_table.read_results(current.row)
+        if isinstance(results, Done):
+            standing = attrs.evolve(current.row, results=results.value)
+            return make_answer(standing, is_recorded=True), True
+    if isinstance(outcome, Refused) and outcome.code == "superseded":
+        return None, False
     return make_answer(row, is_recorded=False), False
 
 
 async def record_until_written(context, job, row):
-    """Write a final row, repeating until the table takes it; return the answer."""
+    """Write a final row, repeating until the table takes it.
+
+    Returns the answer, or None if the row belongs to another attempt.
+    """
     delay_seconds = RECORD_RETRY_MINIMUM_SECONDS
     while True:
         answer, is_written = await record_final(context, job, row)
-        if is_written:
+        if is_written or answer is None:
             return answer
         await anyio.sleep(delay_seconds)
         delay_seconds = min(2 * delay_seconds, RECORD_RETRY_MAXIMUM_SECONDS)
@@ -73,16 +75,26 @@
 async def finish_waiting_job(context, job, *, phase, reason):
     """Make a job that holds no worker final; posts the event."""
     row = make_row(job, phase=phase, data_centre=context.data_centre, reason=reason)
-    if job.row_version or job.may_have_row:
-        answer = await record_until_written(context, job, row)
-    else:
+    if not job.row_version and not job.may_have_row:
         answer = make_answer(row, is_recorded=False)
-    context.mailbox.post(JobEnded(job_id=job.job_id, answer=answer))
+        context.mailbox.post(_job_ended(job, answer))
+    answer = await record_until_written(context, job, row)
+    context.mailbox.post(_job_ended(job, answer))
 
 
 def not_run_phase(job, phase):
-    """Return ``phase``, or unknown if an earlier attempt may have run."""
-    return Phase.UNKNOWN if job.may_have_run else phase
+    """Return ``phase``, or unknown if the job may have run.
+
+    Without a row, another data centre may have accepted the same job and run it.
+    """
+    return Phase.UNKNOWN if job.may_have_run or not job.row_version else phase
+
+
+def _job_ended(job, answer, **fields):
+    if answer is None:
+        reason = "the row belongs to another attempt"
+        return JobDropped(job_id=job.job_id, reason=reason)
+    return JobEnded(job_id=job.job_id, answer=answer, **fields)
 
 
 async def _execute(context, watch, job, run):
@@ -142,6 +154,8 @@
 async def _release(context, job, run, reason, failed_worker_ids):
     """End an attempt that was not started anywhere."""
     await context.gang_calls.stop(run)
+    if job.is_superseded:
+        return JobDropped(job_id=job.job_id, reason=reason)
     await _unclaim(context, job)
     return GangEnded(run=run, reason=reason, failed_worker_ids=failed_worker_ids)
 
@@ -190,6 +204,8 @@
             standing = attrs.evolve(current.row, results=results.value)
             answer = make_answer(standing, is_recorded=True)
             context.mailbox.post(JobEnded(job_id=job.job_id, answer=answer))
+        else:
+            job.is_superseded = True
         return "the job is final already"
     is_waiting_here = (
         current.row.phase == Phase.QUEUED
@@ -197,6 +213,8 @@
         and current.row.attempt < row.attempt
     )
     if not is_waiting_here:
+        # Perhaps claimed by this placer, if all answers to the claim were lost.
+        job.is_superseded = True
         return "the job is claimed or moved elsewhere"
     outcome = await context.job_table.write(row, expected_version=current.version)
     if isinstance(outcome, Done):
@@ -236,12 +254,13 @@
         results=outcome.value,
     )
     answer, is_written = await record_final(context, job, row)
-    ended = JobEnded(job_id=job.job_id, answer=answer, succeeded=True)
-    if not is_written:
+    ended = _job_ended(job, answer, succeeded=True)
+    if not is_written and answer is not None:
         # The answer is true and complete, so the caller does not wait for the table.
         # Workers keep the results until the row has them.
         context.mailbox.post(ended)
-        await record_until_written(context, job, row)
+        answer = await record_until_written(context, job, row)
+        ended = _job_ended(job, answer, succeeded=True)
     await context.gang_calls.forget(run)
     return ended
 
@@ -275,14 +294,17 @@
         job, phase=phase, data_centre=context.data_centre, run=run, reason=reason
     )
     answer, is_written = await record_final(context, job, row)
-    if not is_written and (phase in NOT_RUN_PHASES or job.is_cancelled):
+    is_told_late = phase in NOT_RUN_PHASES or job.is_cancelled
+    if not is_written and answer is not None and is_told_late:
+        # Told only once the row says so, since a later placer would otherwise find
+        # the job open and run it.
         answer = await record_until_written(context, job, row)
-    ended = JobEnded(
-        job_id=job.job_id, answer=answer, failed_worker_ids=failed_worker_ids
-    )
-    if not is_written:
+        is_written = True
+    ended = _job_ended(job, answer, failed_worker_ids=failed_worker_ids)
+    if not is_written and answer is not None:
         context.mailbox.post(ended)
-        await record_until_written(context, job, row)
+        answer = await record_until_written(context, job, row)
+        ended = _job_ended(job, answer, failed_worker_ids=failed_worker_ids)
     return ended
 
 
--- a/kingcuptrack/coordination/claims.py
+++ b/kingcuptrack/coordination/claims.py
@@ -8,12 +8,16 @@
 
 import uuid
 
+import anyio
 import attrs
 
 from ..outcomes import Done, Refused, Unknown
 from ..protocol.codecs import json_converter
 from ..state.jobs import FINAL_PHASES, JobRow, Phase, TaskResult
 
+# Outcomes that promise that the job never runs.
+NOT_RUN_PHASES = frozenset({Phase.CANCELLED, Phase.REFUSED})
+
 JOBS_TABLE = "jobs"
 OPEN_JOBS_TABLE = "open-jobs"
 
@@ -22,6 +26,9 @@
 
 WRITE_RETRIES_COUNT = 2
 
+# Bounds the row reads in flight of a takeover.
+READS_AT_ONCE_COUNT = 16
+
 
 @attrs.frozen(kw_only=True)
 class VersionedJob:
@@ -90,8 +97,8 @@
     async def finish(self, row, *, expected_version):
         """Make a row final, storing large results first.
 
-        A conflict with a row that is not final is resolved in favour of this
-        outcome only if the attempt is the same or the row was never claimed.
+        Refused with code ``conflict`` holds the final row that stands, with code
+        ``superseded`` the open row of another attempt or data centre.
         """
         row = await self._store_results(row)
         if row is None:
@@ -102,12 +109,14 @@
         )
         if isinstance(outcome, Refused) and outcome.code == "conflict":
             current = outcome.detail
-            is_same = current is not None and (
-                current.row.phase not in FINAL_PHASES
-                and current.row.attempt <= row.attempt
-            )
-            if is_same:
+            if current is None:
+                return Unknown(message="the job row disappeared")
+            if current.row.phase not in FINAL_PHASES:
+                if not _may_finish(row, current.row):
+                    return attrs.evolve(outcome, code="superseded")
                 outcome = await self.write(row, expected_version=current.version)
+                if not isinstance(outcome, Done):
+                    return Unknown(message="the job row changed again")
         if isinstance(outcome, Done):
             await self.close_entry(row)
         return outcome
@@ -150,12 +159,10 @@
                 return outcome
             if not outcome.value:
                 return Done(value=jobs)
-            for entry in outcome.value:
-                after = entry.key
-                job_id = entry.key.removeprefix(prefix)
-                if job_id in known_job_ids:
-                    continue
-                read = await self.read(job_id)
+            after = outcome.value[-1].key
+            job_ids = [entry.key.removeprefix(prefix) for entry in outcome.value]
+            reads = await self._read_all(set(job_ids) - known_job_ids)
+            for read in reads:
                 if not isinstance(read, Done):
                     return read
                 if read.value is None:
@@ -166,6 +173,21 @@
                 elif row.data_centre == data_centre:
                     jobs.append(read.value)
 
+    async def _read_all(self, job_ids):
+        reads = []
+
+        async def read_one(job_id):
+            async with limiter:
+                # One failure fails the list, so the rest is not waited for.
+                if all(isinstance(read, Done) for read in reads):
+                    reads.append(await self.read(job_id))
+
+        limiter = anyio.CapacityLimiter(READS_AT_ONCE_COUNT)
+        async with anyio.create_task_group() as task_group:
+            for job_id in sorted(job_ids):
+                task_group.start_soon(read_one, job_id)
+        return reads
+
     async def read_results(self, row):
         """Return Done with the results of a row, from the object store if large."""
         if not row.results_key:
@@ -187,6 +209,20 @@
         return attrs.evolve(row, results=(), results_key=key)
 
 
+def _may_finish(row, current):
+    """Return whether a final row may replace an open one of an unexpected version.
+
+    That a job never ran can be said only of a row that waits in the same data centre,
+    or that the same attempt claimed. What an attempt did can also be said if the row
+    is older than the attempt.
+    """
+    if current.phase == Phase.CLAIMED and current.attempt == row.attempt:
+        return current.owner_id == row.owner_id
+    if row.phase in NOT_RUN_PHASES:
+        return current.phase == Phase.QUEUED and current.data_centre == row.data_centre
+    return current.attempt <= row.attempt
+
+
 def _parse(table_row):
     if table_row.value is None:
         return Done(value=None)
--- a/kingcuptrack/coordination/front.py
+++ b/kingcuptrack/coordination/front.py
@@ -53,12 +53,15 @@
 
     async def submit(self, spec, *, wait_seconds):
         """Accept a job and wait for its outcome at most ``wait_seconds``."""
-        if not spec.idempotency_key:
+        is_first_try = not spec.idempotency_key
+        if is_first_try:
             spec = attrs.evolve(spec, idempotency_key=str(uuid.uuid4()))
         job_id = make_job_id(spec.organisation, spec.idempotency_key)
         refusal = self._check_acceptance(spec)
-        if refusal is not None:
+        if refusal is not None and is_first_try:
             return _not_run(job_id, refusal)
+        if refusal is not None:
+            return await self._refuse_unless_recorded(job_id, spec, refusal)
         choice = self._router.choose(spec, job_id)
         if choice is None:
             refusal = Refused(
@@ -155,6 +158,9 @@
         read = await self._job_table.read(job_id)
         if isinstance(read, Done) and read.value is not None:
             return await self._join_existing(read.value, spec, 0.0)
+        reply = await self._join_unrecorded(job_id, spec, 0.0)
+        if reply is not None:
+            return reply
         if isinstance(read, Done):
             return _not_run(job_id, refusal)
         message = f"{refusal.message}; the table cannot tell about earlier tries"
@@ -180,9 +186,27 @@
             return await self._submit_recorded(current, wait_seconds)
         return await self.read(row.job_id, wait_seconds=wait_seconds)
 
+    async def _join_unrecorded(self, job_id, spec, wait_seconds):
+        """Answer from a placer that holds the job already; None if none does.
+
+        The same key may have been accepted before, with a row that cannot be read now
+        or in memory only, so a refusal without this would not be true.
+        """
+        data_centre = await self._find_data_centre(job_id)
+        if data_centre is None:
+            return None
+        message = SubmitJob(job_id=job_id, spec=spec, row_version=0, may_have_row=True)
+        submitted = await self._router.submit(data_centre, message)
+        if isinstance(submitted, Refused) and submitted.code == "key_conflict":
+            return _not_run(job_id, submitted)
+        return await self.read(job_id, wait_seconds=wait_seconds)
+
     async def _submit_unrecorded(self, row, outcome, wait_seconds):
         """Run a repeatable job without the table; refuse any other."""
         spec = row.spec
+        reply = await self._join_unrecorded(row.job_id, spec, wait_seconds)
+        if reply is not None:
+            return reply
         if not spec.is_repeatable:
             message = f"a job that is not repeatable needs the table: {outcome.message}"
             if isinstance(outcome, Unknown):
@@ -206,6 +230,8 @@
                 return await self.read(row.job_id, wait_seconds=wait_seconds)
             if isinstance(submitted, Unknown):
                 return _unknown(row.job_id, submitted.message)
+            if submitted.code == "key_conflict":
+                return _not_run(row.job_id, submitted)
             excluded.add(data_centre)
             data_centre = self._router.choose(spec, row.job_id, excluded=excluded)
             if data_centre is None:
@@ -275,11 +301,18 @@
 
     async def _find_data_centre(self, job_id):
         """Return the data centre whose placer knows a job, or None."""
-        for candidate in self._router.candidates():
-            answer = await self._await_at_placer(candidate.data_centre, job_id, 0.0)
-            if answer is not None:
-                return candidate.data_centre
-        return None
+        found = []
+
+        async def ask(name):
+            if await self._await_at_placer(name, job_id, 0.0) is not None:
+                found.append(name)
+
+        # Also those out of service, where work may still be running.
+        names = {info.data_centre for info in self._membership.live_instances()}
+        async with anyio.create_task_group() as task_group:
+            for name in names:
+                task_group.start_soon(ask, name)
+        return min(found, default=None)
 
     async def _reply_row(self, row):
         if row.phase not in FINAL_PHASES:
--- a/kingcuptrack/coordination/gangs.py
+++ b/kingcuptrack/coordination/gangs.py
@@ -107,6 +107,8 @@
         if not self.is_started or sent_seconds < self.started_seconds:
             return
         member = self.members[worker_id]
+        # The placer's own record may be older than a restart before the reservation.
+        member.incarnation = member.incarnation or incarnation
         if incarnation != member.incarnation:
             member.phase = "absent"
             member.may_have_started = True
@@ -125,7 +127,6 @@
         worker_id: Member(
             worker_id=worker_id,
             address=workers[worker_id].address,
-            incarnation=workers[worker_id].incarnation,
             task_indices=tuple(task_indices),
         )
         for worker_id, task_indices in indices.items()
--- a/kingcuptrack/coordination/open_jobs.py
+++ b/kingcuptrack/coordination/open_jobs.py
@@ -15,6 +15,7 @@
     ``row_version`` is 0 while the job is held in memory only; ``may_have_row`` tells
     whether a row may exist all the same. ``token`` is the newest fencing token used,
     which may exceed the attempt in the row. ``may_have_run`` covers all attempts.
+    ``is_superseded`` is set when the row turns out to belong to another attempt.
     """
 
     job_id: str
@@ -28,6 +29,7 @@
     run: GangRun | None = None
     may_have_run: bool = False
     is_cancelled: bool = False
+    is_superseded: bool = False
     answer: JobAnswer | None = None
     final_seconds: float = 0.0
     final: anyio.Event = attrs.field(factory=anyio.Event)
@@ -42,6 +44,14 @@
     failed_worker_ids: tuple[str, ...] = ()
 
 
+@attrs.frozen(kw_only=True)
+class JobDropped:
+    """Event: the row of a job belongs to another attempt or data centre."""
+
+    job_id: str
+    reason: str
+
+
 @attrs.frozen(kw_only=True)
 class JobEnded:
     """Event: a job has its final outcome."""
--- a/kingcuptrack/coordination/placer.py
+++ b/kingcuptrack/coordination/placer.py
@@ -20,7 +20,7 @@
     SubmitAnswer,
     SubmitJob,
 )
-from ..state.jobs import Phase
+from ..state.jobs import Phase, spec_digest
 from ..state.scheduling import (
     QueuedJob,
     ReclaimGang,
@@ -38,7 +38,7 @@
 from .attempts import finish_waiting_job, not_run_phase, run_attempt
 from .descriptions import describe_data_centre
 from .gangs import GangRun, make_members
-from .open_jobs import GangEnded, JobEnded, OpenJob
+from .open_jobs import GangEnded, JobDropped, JobEnded, OpenJob
 from .takeover import rebuild, resolve_claimed
 from .watchers import WorkerWatch
 
@@ -183,7 +183,8 @@
             queued_seconds=time.monotonic(),
             row_version=row_version,
             token=token,
-            may_have_run=token > 0,
+            # Any other job waits again only if it never ran.
+            may_have_run=token > 0 and (spec.is_repeatable or spec.is_checkpointable),
         )
         self.jobs[job_id] = job
         return job
@@ -251,7 +252,8 @@
     def _drop_old_answers(self, now_seconds):
         for job_id, job in list(self.jobs.items()):
             is_old = job.final_seconds < now_seconds - FINAL_KEPT_SECONDS
-            if job.answer is not None and is_old:
+            # Until the row is final, a scan would take the job for an open one.
+            if job.answer is not None and job.answer.is_recorded and is_old:
                 del self.jobs[job_id]
 
     # Requests and events
@@ -276,6 +278,8 @@
             self._end_gang(message)
         elif isinstance(message, JobEnded):
             self._end_job(message)
+        elif isinstance(message, JobDropped):
+            self._drop_job(message)
 
     def _handle_inactive(self, request):
         message = request.message
@@ -287,7 +291,14 @@
             request.reply(None)
 
     def _submit(self, message):
-        if message.job_id in self.jobs:
+        known = self.jobs.get(message.job_id)
+        if known is not None and spec_digest(known.spec) != spec_digest(message.spec):
+            return SubmitAnswer(
+                is_accepted=False,
+                code="key_conflict",
+                message="the idempotency key belongs to a job with another body",
+            )
+        if known is not None:
             return SubmitAnswer(is_accepted=True)
         if self.context.is_out_of_service():
             return SubmitAnswer(is_accepted=False, code="data_centre_out")
@@ -363,6 +374,17 @@
         else:
             self.queue_or_refuse(job)
 
+    def _drop_job(self, event):
+        """Give a job up; the next scan takes its row in as it is now."""
+        gang_ended(self.scheduler, event.job_id, now_seconds=time.monotonic())
+        job = self.jobs.get(event.job_id)
+        if job is None or job.answer is not None:
+            return
+        logger.bind(job_id=job.job_id, reason=event.reason).info("job dropped")
+        del self.jobs[job.job_id]
+        self._release_waiters(job)
+        self._next_scan_seconds = 0.0
+
     def _end_job(self, event):
         gang_ended(
             self.scheduler,
@@ -373,6 +395,8 @@
         )
         job = self.jobs.get(event.job_id)
         if job is None or job.answer is not None:
+            if job is not None and event.answer.is_recorded:
+                job.answer = event.answer
             return
         job.status = "final"
         job.run = None
--- a/kingcuptrack/coordination/takeover.py
+++ b/kingcuptrack/coordination/takeover.py
@@ -26,18 +26,27 @@
     context = placer.context
     started_seconds = time.monotonic()
     set_configuration(placer.scheduler, context.configuration.current)
-    states = await _read_workers(placer)
-    outcome = await context.job_table.list_open(context.data_centre)
+    # Both at once: each may wait for its timeout, and the takeover has a bound.
+    async with anyio.create_task_group() as task_group:
+        states = {}
+        task_group.start_soon(_read_workers, placer, states)
+        outcome = await context.job_table.list_open(context.data_centre)
     rows = {}
-    if isinstance(outcome, Done):
+    is_table_answering = isinstance(outcome, Done)
+    if is_table_answering:
         rows = {current.row.job_id: current for current in outcome.value}
     else:
         logger.warning("open jobs not listed, using workers only: {}", outcome)
     found = _group_gangs(states)
     for current in rows.values():
         _resolve_row(placer, current, found.pop(current.row.job_id, {}), states)
-    for job_id, gangs in found.items():
-        await _resolve_unlisted(placer, job_id, gangs, states)
+    async with anyio.create_task_group() as task_group:
+        for job_id, gangs in found.items():
+            if is_table_answering:
+                task_group.start_soon(_resolve_unlisted, placer, job_id, gangs, states)
+            else:
+                _resolve_from_workers(placer, gangs, states)
+    _note_earlier_starts(placer, states)
     duration_seconds = time.monotonic() - started_seconds
     context.metrics.timing("takeover", 1000.0 * duration_seconds)
     logger.bind(
@@ -49,10 +58,12 @@
 
 async def resolve_claimed(placer, current):
     """Resolve a claimed row found outside a takeover."""
-    states = await _read_workers(placer)
+    states = {}
+    await _read_workers(placer, states)
     gangs = _group_gangs(states).get(current.row.job_id, {})
     if current.row.job_id not in placer.jobs:
         _resolve_row(placer, current, gangs, states)
+        _note_earlier_starts(placer, states)
 
 
 def _resolve_row(placer, current, gangs, states):
@@ -70,7 +81,7 @@
     newest_token = max((gang.token for gang in gangs.values()), default=0)
     if newest_token > row.attempt:
         # Reserved but not claimed yet, or started while the table was down.
-        _resolve_from_workers(placer, gangs, states, row_version=current.version)
+        _resolve_from_workers(placer, gangs, states, current=current)
     elif row.phase == Phase.CLAIMED:
         key = GangKey(job_id=row.job_id, token=row.attempt, holder=row.owner_id)
         job = placer.open_job(
@@ -96,26 +107,53 @@
             return
         _resolve_row(placer, read.value, gangs, states)
         return
-    newest = max(gangs.values(), key=lambda gang: gang.token)
-    _resolve_from_workers(
-        placer, gangs, states, row_version=newest.details["row_version"]
-    )
+    _resolve_from_workers(placer, gangs, states)
+
 
+def _resolve_from_workers(placer, gangs, states, *, current=None):
+    """Resolve the newest attempt by what its reservations say about it.
 
-def _resolve_from_workers(placer, gangs, states, *, row_version):
-    """Resolve the newest attempt by what its reservations say about it."""
+    ``current`` is the row, with an older attempt. If it is claimed, a placer that had
+    not heard of the claim may have made the newer reservations, so the older attempt
+    may have run, and may run still.
+    """
     newest = max(gangs.values(), key=lambda gang: gang.token)
     spec = json_converter.structure(newest.details["spec"], JobSpec)
+    row_version = newest.details["row_version"]
+    is_claimed = False
+    if current is not None:
+        row_version = current.version
+        is_claimed = current.row.phase == Phase.CLAIMED
     job = placer.open_job(
         newest.job_id, spec, row_version=row_version, token=newest.token
     )
-    job.may_have_run = False
+    can_rerun = spec.is_repeatable or spec.is_checkpointable
+    job.may_have_run = is_claimed or (can_rerun and newest.token > 1)
     key = GangKey(job_id=newest.job_id, token=newest.token, holder=newest.holder)
     worker_ids = tuple(newest.details["worker_ids"])
     run = _make_run(placer, job, key, worker_ids, gangs, states)
+    is_running = all(
+        member.phase in ("running", "finished") for member in run.members.values()
+    )
+    if is_claimed and not is_running:
+        others = _make_run(placer, job, key, current.row.worker_ids, gangs, states)
+        run.members = others.members | run.members
     _attach(placer, job, run)
 
 
+def _note_earlier_starts(placer, states):
+    """Mark jobs of which a worker shows an ended attempt that had been started.
+
+    Attempts started while the table was unavailable are in no row.
+    """
+    for _, state in states.values():
+        for gang in state.gangs:
+            job = placer.jobs.get(gang.job_id)
+            is_earlier = gang.phase in ("stopped", "lapsed")
+            if job is not None and is_earlier and gang.was_started:
+                job.may_have_run = True
+
+
 def _make_run(placer, job, key, worker_ids, gangs, states):
     now_seconds = time.monotonic()
     settings = placer.context.settings
@@ -203,9 +241,8 @@
     return found
 
 
-async def _read_workers(placer):
-    """Return address and state of every listed worker that answers, by id."""
-    states = {}
+async def _read_workers(placer, states):
+    """Fill in address and state of every listed worker that answers, by id."""
     limiter = anyio.CapacityLimiter(READS_AT_ONCE_COUNT)
 
     async def read_worker(listed):
@@ -218,4 +255,3 @@
     async with anyio.create_task_group() as task_group:
         for listed in placer.context.membership.listed_workers().values():
             task_group.start_soon(read_worker, listed)
-    return states
--- a/kingcuptrack/coordination/watchers.py
+++ b/kingcuptrack/coordination/watchers.py
@@ -151,9 +151,15 @@
                 )
             run.observe(worker_id, answer.incarnation, state, sent_seconds=sent_seconds)
         await self._judge_usage(worker_id, runs, answer.usage)
-        worker = self._known_workers.get(worker_id)
-        if worker is not None and answer.is_leaving and not worker.is_leaving:
-            self.observe_worker(attrs.evolve(worker, is_leaving=True))
+        known = self._known_workers.get(worker_id)
+        if known is not None:
+            worker = attrs.evolve(
+                known,
+                incarnation=answer.incarnation,
+                is_leaving=known.is_leaving or answer.is_leaving,
+            )
+            if worker != known:
+                self.observe_worker(worker)
         return True
 
     async def _judge_usage(self, worker_id, runs, usage):
--- a/kingcuptrack/transport/table.py
+++ b/kingcuptrack/transport/table.py
@@ -65,8 +65,10 @@
 
         ``value`` must hold a unique ``write_token``. A write whose answer was lost
         is repeated: either one of the two takes effect, and a conflict with a row
-        that holds the same token means that the first did.
+        that holds the same token means that the first did. A refusal of the repeated
+        write says nothing about the first one.
         """
+        is_unsure = False
         for _ in range(retries_count + 1):
             outcome = await self.write(
                 table, key, value, expected_version=expected_version
@@ -76,9 +78,13 @@
                 token = (current.value or {}).get("write_token")
                 if token == value["write_token"]:
                     return Done(value=current.version)
-            if not isinstance(outcome, Unknown):
                 return outcome
-        return outcome
+            if isinstance(outcome, Done):
+                return outcome
+            if isinstance(outcome, Refused) and not is_unsure:
+                return outcome
+            is_unsure = True
+        return Unknown(message=outcome.message)
 
     async def delete(self, table, key):
         """Delete a row of any version; an absent row is Done as well."""
--- /dev/null
+++ b/tests/oracle.py
@@ -0,0 +1,285 @@
+"""Oracle of the promises about jobs, from journals and callers' answers only.
+
+An `Oracle` sends the requests of callers, keeps every answer, and `Oracle.check`
+compares them with what the workers did. It never asks the system what it did.
+"""
+
+import hashlib
+import json
+import time
+from collections import Counter, defaultdict
+from concurrent.futures import ThreadPoolExecutor
+
+import attrs
+
+from .support import NO_ANSWER, check
+
+FINAL_PHASES = {"done", "failed", "unknown", "refused", "cancelled"}
+END_EVENTS = {"task_effect", "task_failed", "stop", "lapse", "lost"}
+CALLERS_COUNT = 64
+
+
+@attrs.frozen(kw_only=True)
+class Call:
+    """One request of a caller; ``answer`` is None if none arrived."""
+
+    kind: str
+    job_id: str
+    sent_seconds: float
+    received_seconds: float
+    status: int = 0
+    answer: dict | None = None
+
+
+@attrs.define(kw_only=True)
+class Oracle:
+    """Calls of callers and the bodies that they submitted, by job id.
+
+    ``partial_limit_seconds`` bounds how long the tasks of an incompletely started
+    attempt may run: one lease and one start round.
+    """
+
+    deployment: object
+    partial_limit_seconds: float
+    calls: list = attrs.field(factory=list)
+    bodies: dict = attrs.field(factory=dict)
+    callers: ThreadPoolExecutor = attrs.field(
+        factory=lambda: ThreadPoolExecutor(CALLERS_COUNT)
+    )
+
+    def submit(self, entry, body, *, wait_seconds=0.0, timeout_seconds=30.0):
+        """Submit a job; return its id and the answer (None: no answer)."""
+        job_id = job_id_of(body)
+        self.bodies.setdefault(job_id, body)
+        path = f"/v1/jobs?wait_seconds={wait_seconds}"
+        return job_id, self._call(
+            "submit", job_id, entry, "POST", path, body, timeout_seconds
+        )
+
+    def read(self, entry, job_id, *, wait_seconds=0.0, timeout_seconds=30.0):
+        """Read a job; return the answer."""
+        path = f"/v1/jobs/{job_id}?wait_seconds={wait_seconds}"
+        return self._call("read", job_id, entry, "GET", path, None, timeout_seconds)
+
+    def cancel(self, entry, job_id, *, timeout_seconds=30.0):
+        """Cancel a job; return the answer."""
+        path = f"/v1/jobs/{job_id}"
+        return self._call(
+            "cancel", job_id, entry, "DELETE", path, None, timeout_seconds
+        )
+
+    def start(self, function, *args, **kwargs):
+        """Run a call in a thread; return its future."""
+        return self.callers.submit(function, *args, **kwargs)
+
+    def _call(self, kind, job_id, entry, method, path, body, timeout_seconds):
+        sent_seconds = time.monotonic()
+        try:
+            status, answer = entry.request(
+                method, path, body, timeout_seconds=timeout_seconds
+            )
+        except NO_ANSWER:
+            status, answer = 0, None
+        self.calls.append(
+            Call(
+                kind=kind,
+                job_id=job_id,
+                sent_seconds=sent_seconds,
+                received_seconds=time.monotonic(),
+                status=status,
+                answer=answer,
+            )
+        )
+        return answer
+
+    def settle(self, job_ids=None, *, timeout_seconds=30.0):
+        """Wait until jobs (default: all) are final or known to nobody.
+
+        Returns the last answers by job id.
+        """
+        answers = {}
+
+        def are_final():
+            entry = self.deployment.running_entries()[-1]
+            for job_id in job_ids or list(self.bodies):
+                if job_id not in answers:
+                    answer = self.read(entry, job_id, timeout_seconds=5.0)
+                    if answer is not None and (
+                        answer.get("phase") in FINAL_PHASES
+                        or answer.get("code") == "unknown_job"
+                    ):
+                        answers[job_id] = answer
+            return len(answers) == len(job_ids or self.bodies)
+
+        try:
+            self.deployment.wait(
+                are_final, "jobs are final", timeout_seconds=timeout_seconds
+            )
+        except AssertionError as error:
+            open_ids = set(job_ids or self.bodies) - set(answers)
+            last = [call for call in self.calls if call.job_id in open_ids][-3:]
+            raise AssertionError(f"not final: {open_ids}; {last}\n{error}") from None
+        return answers
+
+    def check(self):
+        """Assert every promise for all jobs submitted so far."""
+        self.callers.shutdown()
+        self.callers = ThreadPoolExecutor(CALLERS_COUNT)
+        events = self.deployment.worker_journal()
+        check.assertEqual(
+            find_violations(self, events, now_seconds=time.monotonic()), []
+        )
+
+
+def job_id_of(body):
+    """Return the job id that the design page defines for a body."""
+    text = f"{body['organisation']}\0{body['idempotency_key']}"
+    return hashlib.sha256(text.encode()).hexdigest()[:32]
+
+
+def find_violations(oracle, events, *, now_seconds):
+    """Return a description of each broken promise."""
+    by_job = defaultdict(list)
+    for event in events:
+        by_job[event.get("job_id")].append(event)
+    violations = []
+    for job_id, body in oracle.bodies.items():
+        calls = [call for call in oracle.calls if call.job_id == job_id]
+        runs = collect_runs(by_job[job_id])
+        findings = [
+            *check_at_most_once(body, runs),
+            *check_attempts_apart(runs),
+            *check_partial(oracle, body, runs, now_seconds),
+            *check_not_run(calls, runs),
+            *check_answers(body, calls, runs),
+        ]
+        key = body["idempotency_key"]
+        violations += [f"{key} ({job_id}): {finding}" for finding in findings]
+    return violations
+
+
+@attrs.define(kw_only=True)
+class Run:
+    """What the workers did of one attempt, by task index."""
+
+    starts: dict = attrs.field(factory=lambda: defaultdict(list))
+    ends: dict = attrs.field(factory=lambda: defaultdict(list))
+    effects: Counter = attrs.field(factory=Counter)
+
+    def span(self, now_seconds):
+        """Return when the first task started and the last one ended."""
+        first = min(min(times) for times in self.starts.values())
+        last = max(max(self.ends[index], default=now_seconds) for index in self.starts)
+        return first, last
+
+
+def collect_runs(events):
+    """Return the started attempts of a job by token and holder."""
+    runs = defaultdict(Run)
+    for event in events:
+        if "token" not in event:
+            continue
+        run = runs[event["token"], event["holder"]]
+        for index in event["task_indices"]:
+            if event["event"] == "task_start":
+                run.starts[index].append(event["time_seconds"])
+            elif event["event"] in END_EVENTS and run.starts[index]:
+                run.ends[index].append(event["time_seconds"])
+            if event["event"] == "task_effect":
+                run.effects[index] += 1
+    for run in runs.values():
+        run.starts = {index: times for index, times in run.starts.items() if times}
+    return {key: run for key, run in runs.items() if run.starts}
+
+
+def check_at_most_once(body, runs):
+    """A job that is not repeatable starts in one attempt, each task once."""
+    if not body.get("is_repeatable", True) and len(runs) > 1:
+        yield f"not repeatable but started in attempts {sorted(runs)}"
+    for key, run in runs.items():
+        repeated = [index for index, times in run.starts.items() if len(times) > 1]
+        repeated += [index for index, count in run.effects.items() if count > 1]
+        if repeated:
+            yield f"tasks {repeated} ran twice in attempt {key}"
+
+
+def check_attempts_apart(runs):
+    """No two attempts run at the same time."""
+    spans = sorted((run.span(float("inf")), key) for key, run in runs.items())
+    for (first, first_key), (second, second_key) in zip(spans, spans[1:], strict=False):
+        if second[0] < first[1]:
+            yield f"attempts {first_key} and {second_key} overlap: {first} {second}"
+
+
+def check_partial(oracle, body, runs, now_seconds):
+    """An attempt that is not started whole is stopped soon."""
+    for key, run in runs.items():
+        first, last = run.span(now_seconds)
+        is_whole = len(run.starts) == body["tasks_count"]
+        if not is_whole and last - first > oracle.partial_limit_seconds:
+            yield f"attempt {key} ran {sorted(run.starts)} for {last - first:.1f} s"
+
+
+def check_not_run(calls, runs):
+    """A job told to be not run has not run and does not run.
+
+    A refusal that was not recorded as the outcome leaves the caller free to submit
+    the job again, also while that refusal is on its way.
+    """
+    start_seconds = min((run.span(0.0)[0] for run in runs.values()), default=None)
+    if start_seconds is None:
+        return
+    for call in calls:
+        answer = call.answer or {}
+        if answer.get("outcome") != "not_run" or answer.get("code") == "key_conflict":
+            continue
+        is_resubmitted = any(
+            other.kind == "submit"
+            and other.received_seconds > call.sent_seconds
+            and (other.answer or {}).get("outcome") != "not_run"
+            for other in calls
+        )
+        if answer.get("phase") in FINAL_PHASES or not is_resubmitted:
+            yield f"started at {start_seconds:.2f} but not run: {call}"
+
+
+def check_answers(body, calls, runs):
+    """Every done answer is complete and right; final answers never change."""
+    finals = set()
+    for call in calls:
+        answer = call.answer or {}
+        if answer.get("phase") not in FINAL_PHASES:
+            if answer.get("outcome") == "done":
+                yield f"done without a final phase: {call}"
+            continue
+        finals.add((answer["outcome"], answer["attempt"]))
+        if answer["outcome"] != "done":
+            continue
+        whole = set(range(body["tasks_count"]))
+        effects = [
+            set(run.effects)
+            for (token, _), run in runs.items()
+            if token == answer["attempt"]
+        ]
+        if whole not in effects:
+            yield f"done in attempt {answer['attempt']} with effects {effects}"
+        yield from check_results(body, answer)
+    if len(finals) > 1:
+        yield f"final answers changed: {sorted(finals)}"
+
+
+def check_results(body, answer):
+    """The results of an answer are those of every task of its own job."""
+    wanted = json.loads(body["payload"])["result"]
+    indices = [result["task_index"] for result in answer["results"]]
+    if indices != list(range(body["tasks_count"])):
+        yield f"results of tasks {indices}"
+    for result in answer["results"]:
+        content = result["body"].encode()
+        values = json.loads(content)
+        found = (values["job_id"], values["task_index"], values["result"])
+        if found != (answer["job_id"], result["task_index"], wanted):
+            yield f"result of {found}"
+        digest = hashlib.sha256(content).hexdigest()
+        if (len(content), digest) != (result["length_bytes"], result["sha256"]):
+            yield f"result of task {result['task_index']} is damaged"
--- /dev/null
+++ b/tests/shared.py
@@ -0,0 +1,131 @@
+"""A deployment that all test functions of a module share."""
+
+import contextlib
+import functools
+import itertools
+import sys
+import unittest
+
+from .cases import apply_lists, make_job, wait_placers
+from .deployment import start_deployment
+from .oracle import Oracle
+
+# Short leases, since no bound that these tests check depends on their length.
+SETTINGS = {
+    "workers": {
+        "lease_seconds": 3.0,
+        "lease_margin_seconds": 0.3,
+        "renewal_interval_seconds": 0.8,
+    },
+}
+# One lease, two calls of the start round and the margin of the lease.
+PARTIAL_LIMIT_SECONDS = 3.0 + 2 * 1.0 + 0.3
+KEYS = itertools.count()
+
+
+@contextlib.contextmanager
+def start_judged(**options):
+    """Run a deployment with lists in force; yield an `Oracle` for it."""
+    with start_deployment(settings=SETTINGS, **options) as deployment:
+        apply_lists(deployment)
+        wait_placers(deployment)
+        yield Oracle(deployment=deployment, partial_limit_seconds=PARTIAL_LIMIT_SECONDS)
+
+
+def shared_tests(module_name, **options):
+    """Return a ``load_tests`` hook; each function gets the oracle of one deployment.
+
+    After each function faults are cleared, every data centre gets back its two
+    entries, and the oracle judges everything so far.
+    """
+
+    class SharedTest(unittest.FunctionTestCase):
+        failure = None
+
+        @classmethod
+        def setUpClass(cls):
+            cls.stack = contextlib.ExitStack()
+            cls.oracle = cls.stack.enter_context(start_judged(**options))
+
+        @classmethod
+        def tearDownClass(cls):
+            # A failure is passed on, so that the logs of the deployment are kept.
+            with contextlib.suppress(AssertionError):
+                cls.stack.__exit__(cls.failure and type(cls.failure), cls.failure, None)
+
+    def load_tests(loader, standard_tests, pattern):
+        suite = unittest.TestSuite()
+        for name, function in vars(sys.modules[module_name]).items():
+            if name.startswith("test_") and callable(function):
+                suite.addTest(SharedTest(_judged(SharedTest, function)))
+        return suite
+
+    return load_tests
+
+
+def _judged(case_class, function):
+    @functools.wraps(function)
+    def run():
+        oracle = case_class.oracle
+        try:
+            try:
+                function(oracle)
+            finally:
+                restore(oracle.deployment)
+            oracle.settle()
+            oracle.check()
+        except AssertionError as error:
+            case_class.failure = error
+            # The jobs of this function must not fail the next one.
+            oracle.bodies.clear()
+            raise
+
+    return run
+
+
+def restore(deployment, *, entries_count=2):
+    """Clear all faults and bring every data centre back to its entries."""
+    deployment.clear_faults()
+    for entry in deployment.running_entries():
+        if entry.process.is_paused:
+            entry.process.resume()
+    for entry in deployment.entries.values():
+        if not entry.process.is_running:
+            deployment.remove_from_list(entry)
+    for name in deployment.data_centres:
+        for _ in range(entries_count - len(deployment.running_entries(name))):
+            deployment.start_entry(name)
+    deployment.wait_ready()
+    wait_placers(deployment)
+
+
+def placer(deployment, data_centre):
+    """Return the entry that places in a data centre."""
+    return min(
+        deployment.running_entries(data_centre), key=lambda entry: entry.instance_id
+    )
+
+
+def new_job(name, *, is_repeatable=True, **fields):
+    """Return a body with a new key; each task takes one whole worker."""
+    fields.setdefault(
+        "shape", {"accelerators_count": 8, "cores_count": 4, "memory_bytes": 1000}
+    )
+    key = f"{name}-{next(KEYS)}"
+    return make_job(key, result=key, is_repeatable=is_repeatable, **fields)
+
+
+def wait_event(oracle, job_id, event, *, count=1, timeout_seconds=10.0):
+    """Wait until the workers have recorded an event of a job; return the events."""
+
+    def find_events():
+        found = [
+            entry
+            for entry in oracle.deployment.worker_journal()
+            if entry["event"] == event and entry.get("job_id") == job_id
+        ]
+        return found if len(found) >= count else None
+
+    return oracle.deployment.wait(
+        find_events, f"{event} of {job_id}", timeout_seconds=timeout_seconds
+    )
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,153 @@
+"""Gangs, refusals and results while workers, store and callers fail."""
+
+from .shared import new_job, placer, restore, shared_tests, wait_event
+
+DATA_CENTRES = ("kumasi", "obuasi")
+load_tests = shared_tests(__name__, data_centres=DATA_CENTRES, workers_count=8)
+
+
+def everywhere(deployment, mode, **fields):
+    """Set a fault of the workers of all data centres."""
+    for name in deployment.data_centres:
+        deployment.worker_fault(name, mode, **fields)
+
+
+def submit_pair(oracle, entry, name, **fields):
+    """Submit a repeatable job and one that is not; return ids and answers."""
+    bodies = [
+        new_job(name, is_repeatable=is_repeatable, **fields)
+        for is_repeatable in (True, False)
+    ]
+    futures = [oracle.start(oracle.submit, entry, body) for body in bodies]
+    return [future.result() for future in futures]
+
+
+WORKER_FAULTS = (
+    {"mode": "fail_starts", "count": 2},
+    {"mode": "corrupt_result", "count": 2},
+    {"mode": "wrong_result", "count": 2},
+    {"mode": "restart_empty"},
+    {"mode": "vanish", "operation": "start", "count": 1},
+    {"mode": "lose_response", "operation": "start", "count": 3},
+    {"mode": "lose_response", "operation": "reserve", "count": 3},
+    {"mode": "slow", "operation": "start", "delay_seconds": 1.5, "count": 1},
+    {"mode": "late", "operation": "reserve", "delay_seconds": 1.5, "count": 2},
+    {"mode": "late", "operation": "stop", "delay_seconds": 1.5, "count": 2},
+    {"mode": "late", "operation": "result", "delay_seconds": 1.5, "count": 1},
+)
+
+
+def test_worker_faults_alone_and_in_pairs(oracle):
+    """Guards against partial gangs, second runs and wrong results after a fault."""
+    deployment = oracle.deployment
+    entries = deployment.running_entries()
+    pairs = [(first,) for first in WORKER_FAULTS]
+    pairs += zip(WORKER_FAULTS, WORKER_FAULTS[3:], strict=False)
+    for number, faults in enumerate(pairs):
+        job_ids = submit_pair(oracle, entries[number % len(entries)], "fault")
+        for fault in faults:
+            everywhere(deployment, **fault)
+        more = submit_pair(oracle, entries[number % len(entries)], "fault-later")
+        if number % 4 == 3:
+            oracle.settle([job_id for job_id, _ in job_ids + more])
+            deployment.clear_faults()
+
+
+def test_worker_that_cannot_be_stopped_keeps_its_attempt_alone(oracle):
+    """Guards against a new attempt beside tasks that did not acknowledge a stop."""
+    deployment = oracle.deployment
+    everywhere(deployment, "unstoppable")
+    everywhere(deployment, "slow", operation="start", delay_seconds=2.5, count=2)
+    submit_pair(oracle, deployment.running_entries()[0], "unstoppable", run_seconds=5.0)
+    oracle.settle()
+
+
+STORE_FAULTS = (
+    {"mode": "down"},
+    {"mode": "lose_response", "method": "PUT", "count": 2},
+    {"mode": "lose_response", "method": "PUT"},
+    {"mode": "late", "delay_seconds": 1.2},
+    {"mode": "slow", "delay_seconds": 2.0, "method": "PUT", "count": 6},
+    {"mode": "down", "data_centre": "kumasi", "closes_connection": True},
+)
+
+
+def test_store_faults(oracle):
+    """Guards against lost, doubled and falsely refused jobs while the store fails."""
+    deployment = oracle.deployment
+    entries = deployment.running_entries()
+    for number, fault in enumerate(STORE_FAULTS):
+        # Results above the inline limit need the object store as well.
+        fields = {"payload": {"result_bytes": 20_000}} if number % 2 else {}
+        entry = entries[number % len(entries)]
+        running = submit_pair(oracle, entry, "store-running", **fields)
+        for service in ("table", "objects"):
+            deployment.platform_fault(service=service, **fault)
+        submit_pair(oracle, entry, "store-down", **fields)
+        for (job_id, _), other in zip(running, entries, strict=False):
+            oracle.submit(other, oracle.bodies[job_id])
+        restore(deployment)
+        oracle.settle()
+
+
+def test_lost_insertion_followed_by_an_outage_is_not_called_not_run(oracle):
+    """Guards against "not run" for a row that was written before its answer was lost.
+
+    The second write of the same row meets a store that is down, which says nothing
+    about the first.
+    """
+    deployment = oracle.deployment
+    path = "/v1/tables/jobs/"
+    deployment.platform_fault("down", service="table", path_prefix=path, method="PUT")
+    deployment.platform_fault(
+        "lose_response", service="table", path_prefix=path, method="PUT", count=1
+    )
+    body = new_job("lost-insert", is_repeatable=False)
+    oracle.submit(deployment.running_entries()[0], body)
+
+
+def test_retry_during_an_outage_is_not_called_not_run(oracle):
+    """Guards against "not run" for a retry whose first try was accepted."""
+    deployment = oracle.deployment
+    entries = deployment.running_entries()
+    body = new_job("retry", is_repeatable=False, run_seconds=2.0)
+    job_id, _ = oracle.submit(entries[0], body)
+    wait_event(oracle, job_id, "start", count=2)
+    deployment.platform_fault("down", service="table")
+    for entry in entries:
+        oracle.submit(entry, body)
+
+
+def test_one_key_at_every_instance_and_waves_of_cancellations(oracle):
+    """Guards against second runs of one key and cancellations that lie."""
+    deployment = oracle.deployment
+    entries = deployment.running_entries()
+    bodies = [new_job("wave", is_repeatable=n % 2 == 0) for n in range(12)]
+    submissions = [
+        oracle.start(oracle.submit, entry, body, wait_seconds=5, timeout_seconds=limit)
+        for body in bodies
+        # The second half of the callers hangs up early.
+        for entry, limit in zip(entries, (30.0, 30.0, 0.3, 0.3), strict=True)
+    ]
+    cancellations = [
+        oracle.start(oracle.cancel, entries[number % len(entries)], job_id)
+        for number, job_id in enumerate(list(oracle.bodies)[-12:])
+        if number % 3
+    ]
+    for future in submissions + cancellations:
+        future.result()
+
+
+def test_conflicting_claim_is_resolved(oracle):
+    """Guards against a job that is refused its own claim for ever.
+
+    Every answer to the claim is lost, so the placer does not know that it has it.
+    """
+    deployment = oracle.deployment
+    path = "/v1/tables/jobs/"
+    name = deployment.data_centres[0]
+    body = new_job("claim", is_repeatable=False)
+    deployment.platform_fault(
+        "lose_response", service="table", path_prefix=path, method="PUT", count=4
+    )
+    oracle.submit(placer(deployment, name), body)
