--- a/kingcuptrack/coordination/placer.py
+++ b/kingcuptrack/coordination/placer.py
@@ -29,9 +29,13 @@
     add_job,
     capacity_summary,
     decide,
+    failure_verdict,
+    forget_job,
     gang_ended,
     remove_job,
     set_configuration,
+    set_data_centres,
+    set_remote_use,
     waiting_reason,
 )
 from ..transport.workers import GangKey
@@ -51,22 +55,37 @@
 # Final answers stay in memory this long for callers that poll.
 FINAL_KEPT_SECONDS = 60.0
 
+# Pause before a job is queued again that this data centre may not start now.
+REFUSED_HERE_SECONDS = 0.5
+
 # Pause after a job could not be moved out of a data centre that leaves.
 MOVE_RETRY_SECONDS = 1.0
 
 
 class Placer:
-    """State and task of the placer; others talk to it through its mailbox."""
-
-    def __init__(self, *, context, move_job):
+    """State and task of the placer; others talk to it through its mailbox.
+
+    Parameters
+    ----------
+    context : PlacerContext
+    move_job : callable
+        Coroutine function that moves an `OpenJob` to another data centre; returns
+        whether it did.
+    decide : callable
+        Placement policy with the signature of `scheduling.decide`.
+    """
+
+    def __init__(self, *, context, move_job, decide=decide):
         self.context = context
         self.jobs = {}
         self.scheduler = self._new_scheduler()
         self.watch = None
         self.summary = None
         self._move_job = move_job
+        self._decide_placements = decide
         self._task_group = None
         self._next_scan_seconds = 0.0
+        self._next_refresh_seconds = 0.0
         self._drain_seconds = None
         self._moving_job_ids = set()
 
@@ -122,7 +141,9 @@
         configuration = self.context.configuration.current
         if self.scheduler.configuration is not configuration:
             set_configuration(self.scheduler, configuration)
-        self.watch.update_workers()
+        if now_seconds >= self._next_refresh_seconds:
+            self._next_refresh_seconds = now_seconds + DECISION_INTERVAL_SECONDS
+            self._refresh()
         if now_seconds >= self._next_scan_seconds:
             self._next_scan_seconds = now_seconds + SCAN_INTERVAL_SECONDS
             self._task_group.start_soon(self._scan_table)
@@ -132,10 +153,31 @@
         else:
             self._drain_seconds = None
             self._decide(now_seconds)
+
+    def _refresh(self):
+        """Exchange views with the membership; too costly for every event."""
+        membership = self.context.membership
+        set_data_centres(self.scheduler, membership.all_data_centres())
+        set_remote_use(self.scheduler, self._remote_use())
+        self.watch.update_workers()
         self.summary = capacity_summary(self.scheduler)
 
+    def _remote_use(self):
+        """Return the accelerators that organisations use in other data centres."""
+        membership = self.context.membership
+        counts = {}
+        for name in membership.known_data_centres - {self.context.data_centre}:
+            placer = membership.placer_of(name)
+            if placer is None or placer.summary is None:
+                continue
+            used = placer.summary.used_accelerators_count_by_organisation
+            for organisation, count in used.items():
+                counts[organisation] = counts.get(organisation, 0) + count
+        return counts
+
     def _decide(self, now_seconds):
-        for decision in decide(self.scheduler, now_seconds=now_seconds):
+        decisions = self._decide_placements(self.scheduler, now_seconds=now_seconds)
+        for decision in decisions:
             if isinstance(decision, StartGang):
                 self._begin_attempt(decision)
             elif isinstance(decision, ReclaimGang):
@@ -189,8 +231,11 @@
         self.jobs[job_id] = job
         return job
 
-    def queue_job(self, job):
-        """Put a held job into the queue; return the refusal if it has no place."""
+    def queue_job(self, job, *, is_requeue=False):
+        """Put a held job into the queue; return the refusal if it has no place.
+
+        A job queued again keeps its place and is never refused.
+        """
         job.status = "queued"
         job.run = None
         queued = QueuedJob(
@@ -199,11 +244,17 @@
             queued_seconds=job.queued_seconds,
             attempt=job.token,
         )
-        return add_job(self.scheduler, queued, now_seconds=time.monotonic())
+        return add_job(
+            self.scheduler,
+            queued,
+            now_seconds=time.monotonic(),
+            is_requeue=is_requeue,
+        )
 
     def queue_or_refuse(self, job):
-        """Queue a job that was accepted earlier; a refusal is its outcome."""
-        refusal = self.queue_job(job)
+        """Queue a job found in the table; a refusal is its outcome."""
+        # A job that had an attempt was found to fit before.
+        refusal = self.queue_job(job, is_requeue=job.token > 0)
         if refusal is not None:
             reason = f"{refusal.code}: {refusal.message}"
             self._finish_waiting(job, not_run_phase(job, Phase.REFUSED), reason)
@@ -362,6 +413,8 @@
             event.run.job_id,
             now_seconds=time.monotonic(),
             failed_worker_ids=event.failed_worker_ids,
+            refused_worker_ids=event.refused_worker_ids,
+            tasks_failed=event.is_task_failed,
         )
         if job is None or job.answer is not None:
             return
@@ -369,14 +422,29 @@
             job_id=job.job_id, token=event.run.key.token, reason=event.reason
         ).info("attempt ended without an outcome")
         job.run = None
+        verdict = failure_verdict(self.scheduler, job.job_id)
+        if job.is_cancelled:
+            self._finish_waiting(job, not_run_phase(job, Phase.CANCELLED), "cancelled")
+        elif verdict:
+            self._finish_waiting(job, Phase.FAILED, verdict)
+        elif event.is_refused_here:
+            job.status = "delayed"
+            self._task_group.start_soon(self._queue_later, job)
+        else:
+            self.queue_job(job, is_requeue=True)
+
+    async def _queue_later(self, job):
+        """Queue a job again after a pause, so that refused starts do not spin."""
+        await anyio.sleep(REFUSED_HERE_SECONDS)
         if job.is_cancelled:
             self._finish_waiting(job, not_run_phase(job, Phase.CANCELLED), "cancelled")
         else:
-            self.queue_or_refuse(job)
+            self.queue_job(job, is_requeue=True)
 
     def _drop_job(self, event):
         """Give a job up; the next scan takes its row in as it is now."""
         gang_ended(self.scheduler, event.job_id, now_seconds=time.monotonic())
+        forget_job(self.scheduler, event.job_id)
         job = self.jobs.get(event.job_id)
         if job is None or job.answer is not None:
             return
@@ -392,7 +460,9 @@
             now_seconds=time.monotonic(),
             failed_worker_ids=event.failed_worker_ids,
             succeeded=event.succeeded,
+            tasks_failed=event.is_task_failed,
         )
+        forget_job(self.scheduler, event.job_id)
         job = self.jobs.get(event.job_id)
         if job is None or job.answer is not None:
             if job is not None and event.answer.is_recorded:
@@ -438,7 +508,7 @@
                 phase = not_run_phase(job, Phase.CANCELLED)
                 self._finish_waiting(job, phase, "cancelled")
             else:
-                self.queue_or_refuse(job)
+                self.queue_job(job, is_requeue=True)
             await anyio.sleep(MOVE_RETRY_SECONDS)
         finally:
             self._moving_job_ids.discard(job.job_id)
