Look for an accepted job before refusing its key

Cause: a leaving instance, or any after the organisation was removed from the lists, answered "not run" about a job that another instance had accepted and that was running: the refusal preceded the look into the table. Ruled out: leaving it to the clients, since other callers take "not run" at its word. Change: a refusal of a key that the caller gave reads the row first, as the one for a missing placer did, and joins the job if there is one. The caller client now doubts "not run" for its own key only where the table was not asked (unavailable, unreachable).

--- a/kingcuptrack/coordination/front.py
+++ b/kingcuptrack/coordination/front.py
@@ -53,12 +53,17 @@
 
     async def submit(self, spec, *, wait_seconds):
         """Accept a job and wait for its outcome at most ``wait_seconds``."""
-        if not spec.idempotency_key:
+        is_new_key = not spec.idempotency_key
+        if is_new_key:
             spec = attrs.evolve(spec, idempotency_key=str(uuid.uuid4()))
         job_id = make_job_id(spec.organisation, spec.idempotency_key)
         refusal = self._check_acceptance(spec)
-        if refusal is not None:
+        if refusal is not None and is_new_key:
             return _not_run(job_id, refusal)
+        if refusal is not None:
+            return await self._refuse_unless_recorded(
+                job_id, spec, refusal, wait_seconds
+            )
         choice = self._router.choose(spec, job_id)
         if choice is None:
             refusal = Refused(
@@ -66,7 +71,9 @@
                 message="no data centre in service has a placer",
                 retry_after_seconds=1.0,
             )
-            return await self._refuse_unless_recorded(job_id, spec, refusal)
+            return await self._refuse_unless_recorded(
+                job_id, spec, refusal, wait_seconds
+            )
         row = JobRow(job_id=job_id, spec=spec, phase=Phase.QUEUED, data_centre=choice)
         outcome = await self._insert(row)
         if isinstance(outcome, Done):
@@ -150,11 +157,11 @@
             return _not_run(row.job_id, refusal)
         return await self.read(row.job_id, wait_seconds=0.0)
 
-    async def _refuse_unless_recorded(self, job_id, spec, refusal):
+    async def _refuse_unless_recorded(self, job_id, spec, refusal, wait_seconds):
         """Refuse a submission unless an earlier one of the same key was accepted."""
         read = await self._job_table.read(job_id)
         if isinstance(read, Done) and read.value is not None:
-            return await self._join_existing(read.value, spec, 0.0)
+            return await self._join_existing(read.value, spec, wait_seconds)
         if isinstance(read, Done):
             return _not_run(job_id, refusal)
         message = f"{refusal.message}; the table cannot tell about earlier tries"
--- a/kingcuptrack/tools/caller.py
+++ b/kingcuptrack/tools/caller.py
@@ -37,6 +37,9 @@
     "pending": 5,
 }
 
+# Refusals given without a look for earlier submissions of the key in the table.
+UNCHECKED_CODES = ("unavailable", "unreachable")
+
 # Longest long poll of one request; instances allow 30 s unless set otherwise.
 POLL_SECONDS = 10.0
 # Time beyond the poll after which a request counts as unanswered.
@@ -230,10 +233,11 @@
     """Submit until an instance takes the job; return the answer about it.
 
     Every repetition carries the same key, so that the job is accepted once. "Not
-    run" is passed on only if no earlier try may have been accepted.
+    run" is passed on only if no earlier try may have been accepted, be it one of
+    an earlier run of this program.
     """
     started_seconds = time.monotonic()
-    may_be_accepted = not is_new_key
+    may_be_accepted = False
     delay_seconds = RETRY_DELAY_SECONDS
     while True:
         poll_seconds = min(wait_seconds, POLL_SECONDS)
@@ -262,6 +266,8 @@
             break
         await anyio.sleep(pause_seconds)
         delay_seconds = min(2 * delay_seconds, RETRY_DELAY_LIMIT_SECONDS)
+    if not is_new_key and answer.get("code") in UNCHECKED_CODES:
+        may_be_accepted = True
     if answer["outcome"] == "not_run" and not answer.get("phase") and may_be_accepted:
         is_about_key = answer.get("code") == "key_conflict" or answer.get("findings")
         if not is_about_key:
--- /dev/null
+++ b/tests/test_front.py
@@ -0,0 +1,38 @@
+"""Front: refusals that are true for a job whose key was accepted before."""
+
+from .cases import ORGANISATIONS, apply_lists, make_job, submit, wait_placers
+from .deployment import start_deployment
+from .support import check, function_tests
+
+load_tests = function_tests(__name__)
+
+
+def test_refusal_never_says_not_run_about_an_accepted_key():
+    """Guards against a retry told "not run" by an instance that is leaving, or after
+    its organisation was removed, while the first submission runs."""
+    with start_deployment(data_centres=("kumasi",), workers_count=2) as deployment:
+        apply_lists(deployment)
+        wait_placers(deployment)
+        first, second = deployment.running_entries()
+        body = make_job("batch", run_seconds=4.0, is_repeatable=False)
+        check.assertEqual(submit(first, body)[1]["outcome"], "pending")
+        deployment.wait(
+            lambda: (
+                "start" in {event["event"] for event in deployment.worker_journal()}
+            ),
+            "the job starts",
+        )
+        without = ORGANISATIONS.replace("[organisation design]", "[organisation x]")
+        apply_lists(deployment, organisations=without)
+        for other in (body, {**body, "idempotency_key": "new"}):
+            is_known = other is body
+            answer = submit(first, other)[1]
+            check.assertEqual(answer["outcome"], "pending" if is_known else "not_run")
+        second.process.terminate()
+        deployment.wait(
+            lambda: submit(second, make_job("new"))[1]["code"] == "leaving",
+            "the second instance is leaving",
+        )
+        check.assertEqual(submit(second, body)[1]["outcome"], "pending")
+        status, answer = submit(first, body, wait_seconds=9.0)
+        check.assertEqual((status, answer["outcome"]), (200, "done"), answer)
