Check guarantees against the capacity when lists are checked

Cause: lists whose guarantees do not fit the workers were accepted without a word. Ruled out: refusing them in PUT /v1/configuration, since workers that are missing for a while must not keep an operator from changing the lists. Descriptions of workers carry their capacity and whether they are quarantined.

--- a/emulator/demo.py
+++ b/emulator/demo.py
@@ -16,7 +16,6 @@
 import defopt
 
 from kingcuptrack.tools.client import URLS_VARIABLE
-from tests.cases import wait_placers
 from tests.deployment import start_deployment
 from tests.support import ROOT
 
@@ -79,6 +78,18 @@
     ]
 
 
+def wait_workers(deployment):
+    """Wait until the placers know all workers, which the check of the lists needs."""
+    entry = deployment.running_entries()[0]
+
+    def knows_workers():
+        centres = entry.request("GET", "/v1/status")[1]["data_centres"]
+        workers = [worker for centre in centres for worker in centre["workers"] or ()]
+        return len(workers) == len(deployment.instances("worker"))
+
+    deployment.wait(knows_workers, "the placers know all workers")
+
+
 def apply_lists(entries):
     """Record both lists and wait until they are in force."""
     files = (ORGANISATIONS, PLANS)
@@ -232,8 +243,8 @@
         with start_deployment(data_centres=DATA_CENTRES) as deployment:
             entries = deployment.running_entries()
             print(f"started {len(entries)} entry instances in {DATA_CENTRES}")
+            wait_workers(deployment)
             apply_lists(entries)
-            wait_placers(deployment)
             if stay:
                 stay_until_signal(deployment)
             else:
--- a/kingcuptrack/coordination/application.py
+++ b/kingcuptrack/coordination/application.py
@@ -96,7 +96,7 @@
         lists, findings = parse_lists_body(await read_body(request))
         if findings:
             return invalid(findings)
-        status, body = operators.check_lists(lists)
+        status, body = await operators.check_lists(lists)
         return JSONResponse(body, status_code=status)
 
     async def set_configuration(request):
--- a/kingcuptrack/coordination/descriptions.py
+++ b/kingcuptrack/coordination/descriptions.py
@@ -5,7 +5,7 @@
     JobDescription,
     WorkerDescription,
 )
-from ..state.scheduling import waiting_reason
+from ..state.scheduling import quarantined_worker_ids, waiting_reason
 
 
 def describe_data_centre(scheduler, jobs, *, placer_id):
@@ -18,15 +18,18 @@
     placer_id : str
     """
     tasks_counts, accelerators_counts = _count_use(scheduler)
+    quarantined_ids = set(quarantined_worker_ids(scheduler))
     workers = tuple(
         WorkerDescription(
             worker_id=worker.worker_id,
             rack=worker.rack,
             is_leaving=worker.is_leaving,
+            capacity=worker.capacity,
             accelerators_count=worker.capacity.accelerators_count,
             free_accelerators_count=worker.capacity.accelerators_count
             - accelerators_counts.get(worker.worker_id, 0),
             tasks_count=tasks_counts.get(worker.worker_id, 0),
+            health="quarantined" if worker.worker_id in quarantined_ids else "",
         )
         for worker in scheduler.workers.values()
     )
--- a/kingcuptrack/coordination/operators.py
+++ b/kingcuptrack/coordination/operators.py
@@ -3,12 +3,17 @@
 import time
 
 import anyio
+import anyio.to_thread
 import attrs
 
+from ..findings import Finding, Place
+from ..ini import parse_ini
 from ..outcomes import Done, Refused
 from ..protocol.bodies import encode_findings
 from ..protocol.messages import DescribeDataCentre
-from ..state.plans import parse_lists
+from ..state.guarantees import packing_findings
+from ..state.plans import PLANS_FILE, parse_lists
+from ..state.shapes import Worker
 
 # States of a job in which its gang holds workers.
 HOLDING_STATUSES = ("starting", "running", "stopping")
@@ -34,10 +39,19 @@
             "in_force": self._in_force(),
         }
 
-    def check_lists(self, body):
-        """Return all findings of two lists without recording them."""
-        _, findings = parse_lists(body.organisations, body.plans)
-        return 200, {"findings": encode_findings(findings)}
+    async def check_lists(self, body):
+        """Return all findings of two lists without recording them.
+
+        ``is_valid`` tells whether they can be recorded: guarantees beyond the
+        capacity are errors, but workers may be missing for a while only.
+        """
+        parsed, findings = parse_lists(body.organisations, body.plans)
+        if parsed is not None:
+            findings = findings + await self._capacity_findings(parsed)
+        return 200, {
+            "is_valid": parsed is not None,
+            "findings": encode_findings(findings),
+        }
 
     async def set_lists(self, body):
         """Record two lists as the next version."""
@@ -119,6 +133,35 @@
                 task_group.start_soon(describe_one, name)
         return names, descriptions
 
+    async def _capacity_findings(self, parsed):
+        """Check the guarantees of two lists against the workers of all placers."""
+        names, descriptions = await self.describe()
+        out = self._configuration.data_centres_out()
+        silent = [name for name in names if name not in descriptions.keys() | out]
+        if silent:
+            message = f"guarantees not checked: no answer from {', '.join(silent)}"
+            place = Place(file=PLANS_FILE)
+            return [Finding(place=place, message=message, is_warning=True)]
+        workers = [
+            Worker(
+                worker_id=worker.worker_id,
+                data_centre=name,
+                rack=worker.rack,
+                address="",
+                incarnation="",
+                capacity=worker.capacity,
+            )
+            for name, description in descriptions.items()
+            for worker in description.workers
+            if not worker.is_leaving
+        ]
+        configuration = attrs.evolve(parsed, data_centres_out=frozenset(out))
+        # Packing thousands of workers takes longer than heartbeats may wait.
+        findings = await anyio.to_thread.run_sync(
+            packing_findings, configuration, workers, names
+        )
+        return [_with_line(finding, parsed.plans_text) for finding in findings]
+
     def _in_force(self):
         """Return the version acknowledged by every known instance."""
         now_seconds = time.monotonic()
@@ -278,6 +321,16 @@
     return dict(zip(keys, counts, strict=True))
 
 
+def _with_line(finding, plans_text):
+    """Return a finding about plans with the line of its key."""
+    sections, _ = parse_ini(plans_text, file=PLANS_FILE)
+    section = sections.get(finding.place.section)
+    value = section and section.values.get(finding.place.key)
+    if not value:
+        return finding
+    return attrs.evolve(finding, place=attrs.evolve(finding.place, line=value.line))
+
+
 def _unknown_data_centre(findings):
     return 404, {
         "outcome": "not_recorded",
--- a/kingcuptrack/protocol/messages.py
+++ b/kingcuptrack/protocol/messages.py
@@ -5,6 +5,7 @@
 from ..state.jobs import JobSpec, TaskResult
 from ..state.plans import Configuration
 from ..state.scheduling import CapacitySummary
+from ..state.shapes import Capacity
 
 
 @attrs.frozen(kw_only=True)
@@ -108,6 +109,7 @@
     worker_id: str
     rack: str
     is_leaving: bool
+    capacity: Capacity
     accelerators_count: int
     free_accelerators_count: int
     tasks_count: int
--- a/kingcuptrack/tools/operator.py
+++ b/kingcuptrack/tools/operator.py
@@ -83,11 +83,12 @@
 
     async def command(client):
         lists = read_lists(organisations, plans)
-        findings = await request_check(client, lists)
-        if isinstance(findings, int):
-            return findings
+        answer = await request_check(client, lists)
+        if isinstance(answer, int):
+            return answer
+        findings = answer["findings"]
         if json:
-            print_json({"findings": findings})
+            print_json(answer)
         else:
             print_findings(findings)
             print("the lists have errors" if has_errors(findings) else "no errors")
@@ -101,6 +102,7 @@
     plans: Path,
     *,
     yes: bool = False,
+    over_capacity: bool = False,
     timeout_seconds: float = 5.0,
     entry_url: Sequence[str] = (),
     json: bool = False,
@@ -110,6 +112,7 @@
     :param organisations: file with the list of organisations
     :param plans: file with the list of plans
     :param yes: record without asking
+    :param over_capacity: record guarantees that do not fit the present workers
     :param timeout_seconds: time to wait until the version is in force
     :param entry_url: URL of an entry instance; several are tried in order
     :param json: print JSON
@@ -120,12 +123,16 @@
         current = await read_configuration(client)
         if isinstance(current, int):
             return current
-        findings = await request_check(client, lists)
-        if isinstance(findings, int):
-            return findings
+        checked = await request_check(client, lists)
+        if isinstance(checked, int):
+            return checked
+        findings = checked["findings"]
         print_findings(findings, file=sys.stderr)
-        if has_errors(findings):
+        if has_errors(findings) and not (over_capacity and checked["is_valid"]):
             print("the lists have errors; nothing was recorded", file=sys.stderr)
+            if checked["is_valid"]:
+                text = "use --over-capacity if workers are missing for a while only"
+                print(text, file=sys.stderr)
             if json:
                 print_json({"outcome": "not_recorded", "findings": findings})
             return EXIT_FINDINGS
@@ -383,7 +390,7 @@
 
 
 async def request_check(client, lists):
-    """Return the findings of both lists, or the exit code after a failure."""
+    """Return the answer with all findings, or the exit code after a failure."""
     outcome = await client.request(
         "POST",
         "/v1/configuration/check",
@@ -392,10 +399,10 @@
     )
     if not isinstance(outcome, Done):
         return report_failure(outcome, "checking the lists", json=False)
-    if "findings" not in outcome.value.body:
+    if outcome.value.status != 200:
         print_refusal(outcome.value.body)
-        return EXIT_UNKNOWN
-    return outcome.value.body["findings"]
+        return change_exit_code(outcome.value)
+    return outcome.value.body
 
 
 async def record_lists(client, lists, current, *, json, timeout_seconds):
--- a/tests/test_operator_client.py
+++ b/tests/test_operator_client.py
@@ -8,7 +8,7 @@
 
 from kingcuptrack.tools import operator
 
-from .cases import ORGANISATIONS, PLANS, apply_lists
+from .cases import ORGANISATIONS, PLANS, apply_lists, wait_placers
 from .deployment import start_deployment
 from .support import check, function_tests
 
@@ -31,6 +31,12 @@
     return paths
 
 
+def apply_anyway(paths, urls, **options):
+    """Apply lists whose guarantees exceed the capacity."""
+    command = operator.apply_lists
+    return run(command, *paths, entries=urls, over_capacity=True, **options)
+
+
 def test_changes_are_reported_with_their_own_exit_codes():
     """Guards against scripts that take a conflict or a lost change for success."""
     with (
@@ -40,7 +46,13 @@
         urls = ["http://127.0.0.1:1"]
         urls += [entry.url for entry in deployment.running_entries()]
         paths = write_lists(directory, PLANS)
+        wait_placers(deployment)
+        # One worker of 8 accelerators cannot hold the guaranteed gangs of 16.
         exit_code, text = run(operator.apply_lists, *paths, entries=urls, yes=True)
+        check.assertEqual(exit_code, operator.EXIT_FINDINGS, text)
+        check.assertIn("plans.ini:2 [plan studio] guaranteed_gangs_count", text)
+        check.assertIn("do not fit data centre kumasi", text)
+        exit_code, text = apply_anyway(paths, urls, yes=True)
         check.assertEqual(exit_code, 0, text)
         check.assertIn("recorded as version 1", text)
         check.assertIn("+[plan studio]", text)
@@ -64,7 +76,7 @@
     original = operator.is_confirmed
     operator.is_confirmed = confirm_late
     try:
-        exit_code, text = run(operator.apply_lists, *paths, entries=urls)
+        exit_code, text = apply_anyway(paths, urls)
     finally:
         operator.is_confirmed = original
     check.assertEqual(exit_code, operator.EXIT_CONFLICT, text)
@@ -72,7 +84,7 @@
     check.assertIn("changed by others from version 1 to version 2", text)
     check.assertIn("+quota_accelerators_count = 128", text)
     write_lists(paths[0].parent, "[plan studio]\nweight = x\n")
-    exit_code, text = run(operator.apply_lists, *paths, entries=urls, yes=True)
+    exit_code, text = apply_anyway(paths, urls, yes=True)
     check.assertEqual(exit_code, operator.EXIT_FINDINGS, text)
     check.assertIn("plans.ini:2 [plan studio] weight: error", text)
 
