Measure slopes of cost on real entry daemons

Cause: the computation for the target size needs the cost of each operation of the daemon, with an error, and nothing measured it. Ruled out: timing functions in the process of the bench, which leaves out the event loop, sockets and decoding that make up most of the cost. Change: bench/capacity.py starts deployments of several sizes and fits a line through processor time, memory, proxied bytes, durations and table operations at each. Conclusion: usable for the computation; figures of a quick run are rough.

--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,1107 @@
+"""Slopes of cost and duration, measured on real entry daemons with the stand-ins.
+
+Prints one table per measurement and, as the last line, a JSON object of the fitted
+lines (see `meters.Line`). `capacity_table` turns that line into the tables of
+docs/CAPACITY.md. Bytes are payload of TCP, both directions, as a proxy counts them.
+"""
+
+import contextlib
+import json
+import os
+import random
+import re
+import socket
+import time
+from concurrent.futures import ThreadPoolExecutor
+from datetime import datetime
+
+import attrs
+import defopt
+
+from tests.cases import apply_lists, make_job, submit, wait_placers
+from tests.deployment import start_deployment
+
+from .meters import fit_line, observe, print_table, read_resident_bytes, read_totals
+
+SEED = 1
+SUBMITTERS_COUNT = 8
+LEASE_SECONDS = 10.0
+# Same as in the watchers of the daemon: gangs that started recently are polled more
+# often, so that the renewal period is reached only after this part of it.
+POLL_FRACTION = 0.15
+# Polls that a measurement is not about happen this rarely.
+RARE_SECONDS = 10.0
+# Must be less than the isolation timeout: an instance that has not read the table
+# for longer takes it to be silent and keeps repeatable jobs in memory only.
+CONFIGURATION_POLL_SECONDS = 2.0
+LAG_SECONDS = 0.1
+
+
+@attrs.frozen(kw_only=True)
+class Sizes:
+    """Sizes at which each slope is measured."""
+
+    window_seconds: float
+    instances: tuple
+    peers: tuple
+    heartbeat_interval_seconds: float
+    workers: tuple
+    renewal_workers_count: int
+    gangs_per_worker: tuple
+    renewal_intervals_seconds: tuple
+    gang_tasks: tuple
+    gangs_repeats_count: int
+    requests: tuple
+    status_repeats_count: int
+    queued_jobs: tuple
+    open_polls: tuple
+    organisations: tuple
+    listed: tuple
+    changes_count: int
+
+
+FULL = Sizes(
+    window_seconds=10.0,
+    instances=(6, 18, 40),
+    peers=(1, 3, 5, 7),
+    heartbeat_interval_seconds=0.25,
+    workers=(8, 24, 105),
+    renewal_workers_count=32,
+    gangs_per_worker=(1, 4, 8),
+    renewal_intervals_seconds=(0.4, 0.8, 1.6),
+    gang_tasks=(1, 4, 8, 16),
+    gangs_repeats_count=12,
+    requests=(100, 200, 400),
+    status_repeats_count=20,
+    queued_jobs=(0, 150, 300, 600),
+    open_polls=(0, 100, 200, 400),
+    organisations=(4, 20, 50),
+    listed=(100, 700, 2100),
+    changes_count=5,
+)
+QUICK = Sizes(
+    window_seconds=1.0,
+    instances=(2, 4, 6),
+    peers=(1, 2, 3),
+    heartbeat_interval_seconds=0.25,
+    workers=(4, 8, 16),
+    renewal_workers_count=8,
+    gangs_per_worker=(1, 2, 4),
+    renewal_intervals_seconds=(0.15, 0.2, 0.3),
+    gang_tasks=(1, 2, 4),
+    gangs_repeats_count=3,
+    requests=(20, 40, 80),
+    status_repeats_count=5,
+    queued_jobs=(0, 20, 40),
+    open_polls=(0, 20, 40),
+    organisations=(4, 10, 20),
+    listed=(50, 100, 200),
+    changes_count=2,
+)
+
+
+@attrs.define(kw_only=True)
+class Bench:
+    """Sizes and the lines fitted so far, by name with units."""
+
+    sizes: Sizes
+    lines: dict = attrs.field(factory=dict)
+
+    def add(self, name, points, *, title, x_name, y_name, factor=1.0):
+        """Fit and print a line."""
+        line = fit_line(points)
+        self.lines[name] = line
+        print_table(f"{title} ({name})", x_name, line, y_name, factor)
+
+
+def make_lists(organisations_count):
+    """Return both lists with one plan per organisation."""
+    plans = [
+        f"[plan plan-{n:03d}]\n"
+        "guaranteed_gangs_count = 0\nguaranteed_tasks_count = 1\n"
+        "guaranteed_task_accelerators_count = 1\nguaranteed_task_cores_count = 1\n"
+        "guaranteed_task_memory_bytes = 1000000000\n"
+        "quota_accelerators_count = 1000000\n"
+        for n in range(organisations_count)
+    ]
+    organisations = [
+        f"[organisation team-{n:03d}]\nplan = plan-{n:03d}\n"
+        for n in range(organisations_count)
+    ]
+    return {"organisations": "".join(organisations), "plans": "".join(plans)}
+
+
+def start(**kwargs):
+    """Start a deployment whose polls, unless set, are rare."""
+    settings = {
+        "peers": {"instances_poll_interval_seconds": RARE_SECONDS},
+        "configuration": {
+            "configuration_poll_interval_seconds": CONFIGURATION_POLL_SECONDS
+        },
+    }
+    for section, values in kwargs.pop("settings", {}).items():
+        settings.setdefault(section, {}).update(values)
+    return start_deployment(settings=settings, lag_seconds=LAG_SECONDS, **kwargs)
+
+
+def add_entries(deployment, count):
+    """Start entries of the first data centre one by one, until ``count`` run.
+
+    One that starts finds the others in the list, so that none waits for a list poll.
+    """
+    while len(deployment.running_entries()) < count:
+        entry = deployment.start_entry(deployment.data_centres[0])
+        deployment.wait_ready([entry])
+        time.sleep(2 * LAG_SECONDS)
+    wait_mesh(deployment)
+
+
+def job(key, **fields):
+    """Return the body of a job of the first organisation."""
+    return make_job(f"{SEED}-{key}", organisation="team-000", **fields)
+
+
+def shape(accelerators_count):
+    """Return a shape that only its accelerators limit."""
+    return {
+        "accelerators_count": accelerators_count,
+        "cores_count": 1,
+        "memory_bytes": 1000,
+    }
+
+
+def submit_all(entry, bodies):
+    """Submit jobs, a few at a time; return their ids."""
+
+    def submit_one(body):
+        status, answer = submit(entry, body)
+        assert status == 202, (status, answer)
+        return answer["job_id"]
+
+    with ThreadPoolExecutor(SUBMITTERS_COUNT) as executor:
+        return list(executor.map(submit_one, bodies))
+
+
+def cancel_all(entry, job_ids):
+    """Cancel jobs, a few at a time."""
+
+    def cancel(job_id):
+        status, answer = entry.request(
+            "DELETE", f"/v1/jobs/{job_id}", timeout_seconds=30.0
+        )
+        assert status == 200, (status, answer)
+
+    with ThreadPoolExecutor(SUBMITTERS_COUNT) as executor:
+        list(executor.map(cancel, job_ids))
+
+
+def wait_status(deployment, entry, condition, what):
+    """Wait until the status as an entry tells it satisfies a condition."""
+
+    def is_satisfied():
+        status, answer = entry.request("GET", "/v1/status")
+        return status == 200 and condition(answer["data_centres"])
+
+    deployment.wait(is_satisfied, what, timeout_seconds=60.0)
+
+
+def wait_workers(deployment, count):
+    """Wait until every placer knows its workers."""
+    for entry in deployment.running_entries():
+        wait_status(
+            deployment,
+            entry,
+            lambda centres: (
+                [len(centre["workers"] or ()) for centre in centres]
+                == [count] * len(deployment.data_centres)
+            ),
+            f"all workers are known to {entry.instance_id}",
+        )
+
+
+def log_times(entry, message):
+    """Return (time, record) of the log records with a message, newest last."""
+    records = []
+    for line in entry.process.log_text().splitlines():
+        if message in line:
+            record = json.loads(line)
+            records.append((datetime.fromisoformat(record["time"]), record))
+    return records
+
+
+def measure_heartbeats(bench):
+    """Measure heartbeats, and the spread of a configuration, against peers."""
+    sizes = bench.sizes
+    interval_seconds = sizes.heartbeat_interval_seconds
+    processor, transfer, per_change, change_bytes = [], [], [], []
+    with start(
+        data_centres=("kumasi",),
+        workers_count=1,
+        entries_count=1,
+        is_proxied=True,
+        settings={"peers": {"heartbeat_interval_seconds": interval_seconds}},
+    ) as deployment:
+        for peers_count in sizes.peers:
+            add_entries(deployment, peers_count + 1)
+            used = observe(deployment, sizes.window_seconds)
+            # Each instance sends one to every peer and receives one from it.
+            rate = 2 * peers_count / interval_seconds
+            spent = list(used.processor_seconds.values())[1:]
+            processor.append((rate, sum(spent) / len(spent) / used.at_seconds))
+            pairs_count = peers_count * (peers_count + 1)
+            transfer.append(
+                (pairs_count / interval_seconds, used.peer_bytes() / used.at_seconds)
+            )
+        peers_count = sizes.peers[-1]
+        for count in sizes.organisations:
+            apply_lists(deployment, **make_lists(count))
+            time.sleep(1.0)
+            idle = observe(deployment, sizes.window_seconds)
+            before = read_totals(deployment)
+            changes_count = 4 * sizes.changes_count
+            for _ in range(changes_count):
+                apply_lists(deployment, **make_lists(count))
+            used = read_totals(deployment).since(before)
+            extra_bytes = used.peer_bytes() - idle.peer_bytes() * (
+                used.at_seconds / idle.at_seconds
+            )
+            change_bytes.append((count, extra_bytes / changes_count / peers_count))
+            others = list(used.processor_seconds)[1:]
+            extra = sum(
+                used.processor_seconds[name]
+                - idle.processor_seconds[name] * used.at_seconds / idle.at_seconds
+                for name in others
+            )
+            per_change.append((count, extra / len(others) / changes_count))
+    bench.add(
+        "processor_seconds_per_heartbeat",
+        processor,
+        title="Processor time of an instance that is not the placer",
+        x_name="heartbeats per s",
+        y_name="% of a core",
+        factor=100,
+    )
+    bench.add(
+        "bytes_per_heartbeat",
+        transfer,
+        title="Bytes of heartbeats with their answers, all links",
+        x_name="heartbeats per s",
+        y_name="KB/s",
+        factor=1e-3,
+    )
+    bench.add(
+        "bytes_per_configuration_change_per_peer_per_organisation",
+        change_bytes,
+        title="Bytes on peer links for one change, per peer",
+        x_name="organisations",
+        y_name="bytes",
+    )
+    bench.add(
+        "processor_seconds_per_configuration_change_per_organisation",
+        per_change,
+        title="Processor time of each instance for one change, its check included",
+        x_name="organisations",
+        y_name="ms",
+        factor=1e3,
+    )
+
+
+def wait_mesh(deployment):
+    """Wait until every entry knows every other."""
+    count = len(deployment.running_entries())
+    for entry in deployment.running_entries():
+
+        def knows_all(entry=entry):
+            answer = entry.request("GET", "/v1/configuration")[1]
+            return sum(row["silent_seconds"] == 0 for row in answer["in_force"])
+
+        deployment.wait(
+            lambda knows_all=knows_all: knows_all() == count,
+            f"{entry.instance_id} knows all instances",
+            timeout_seconds=60.0,
+        )
+
+
+def measure_renewals(bench):
+    """Measure renewals against their rate and the gangs in each, and idle polls."""
+    sizes = bench.sizes
+    workers_count = sizes.renewal_workers_count
+    processor, transfer, base, memory = [], [], [], []
+    with start(
+        data_centres=("kumasi",),
+        workers_count=workers_count,
+        entries_count=1,
+        is_proxied=True,
+        settings={
+            "workers": {
+                "lease_seconds": LEASE_SECONDS,
+                "worker_poll_interval_seconds": 60.0,
+            }
+        },
+    ) as deployment:
+        apply_lists(deployment, **make_lists(4))
+        wait_workers(deployment, workers_count)
+        for gangs_count in sizes.gangs_per_worker:
+            entry = deployment.running_entries()[0]
+            bodies = [
+                job(
+                    f"renew-{gangs_count}-{n}",
+                    run_seconds=3600,
+                    tasks_count=1,
+                    shape=shape(8 // gangs_count),
+                )
+                for n in range(gangs_count * workers_count)
+            ]
+            job_ids = submit_all(entry, bodies)
+            wait_running(deployment, entry, gangs_count * workers_count)
+            points, byte_points = [], []
+            for interval_seconds in sizes.renewal_intervals_seconds:
+                deployment.settings["workers"]["renewal_interval_seconds"] = (
+                    interval_seconds
+                )
+                entry = deployment.restart(entry)
+                wait_running(deployment, entry, gangs_count * workers_count)
+                time.sleep(interval_seconds / POLL_FRACTION + 0.5)
+                used = observe(deployment, sizes.window_seconds)
+                rate = workers_count / interval_seconds
+                spent = used.processor_seconds[entry.instance_id]
+                points.append((rate, spent / used.at_seconds))
+                sent = used.forwarded_bytes["kumasi>workers"]
+                byte_points.append((rate, sent / used.at_seconds))
+            line, byte_line = fit_line(points), fit_line(byte_points)
+            for points_line, text in ((line, "core"), (byte_line, "bytes/s")):
+                print_table(
+                    f"Renewals of {gangs_count} gangs per worker",
+                    "renewals per s",
+                    points_line,
+                    text,
+                )
+            processor.append((gangs_count, line.slope))
+            transfer.append((gangs_count, byte_line.slope))
+            base.append((gangs_count * workers_count, line.intercept))
+            pid = entry.process.popen.pid
+            memory.append((gangs_count * workers_count, read_resident_bytes(pid)))
+            cancel_all(entry, job_ids)
+    bench.add(
+        "processor_seconds_per_renewal_per_gang",
+        processor,
+        title="Processor time of one renewal request",
+        x_name="gangs at the worker",
+        y_name="ms",
+        factor=1e3,
+    )
+    bench.add(
+        "bytes_per_renewal_per_gang",
+        transfer,
+        title="Bytes of one renewal request and its answer",
+        x_name="gangs at the worker",
+        y_name="bytes",
+    )
+    bench.add(
+        "processor_seconds_per_second_per_running_gang",
+        base,
+        title="Processor time of a placer apart from renewals",
+        x_name="running gangs",
+        y_name="% of a core",
+        factor=100,
+    )
+    bench.add(
+        "resident_bytes_per_running_task",
+        memory,
+        title="Resident memory of a placer after a takeover",
+        x_name="running tasks",
+        y_name="MB",
+        factor=1e-6,
+    )
+
+
+def wait_running(deployment, entry, tasks_count):
+    """Wait until the placer runs that many tasks."""
+    wait_status(
+        deployment,
+        entry,
+        lambda centres: (
+            sum(
+                worker["tasks_count"]
+                for centre in centres
+                for worker in centre["workers"] or ()
+            )
+            == tasks_count
+        ),
+        f"{tasks_count} tasks run",
+    )
+    time.sleep(0.5)
+
+
+def measure_jobs(bench):
+    """Measure placements, forwarded requests, queued jobs, open polls, takeovers."""
+    workers_count = max(bench.sizes.gang_tasks)
+    with start(
+        data_centres=("kumasi",),
+        workers_count=workers_count,
+        entries_count=1,
+        is_proxied=True,
+    ) as deployment:
+        add_entries(deployment, 2)
+        apply_lists(deployment, **make_lists(4))
+        wait_workers(deployment, workers_count)
+        placer, front = deployment.running_entries()
+        idle = observe(deployment, bench.sizes.window_seconds)
+        _measure_placements(bench, deployment, placer, front, idle)
+        blocker = job(
+            "blocker", run_seconds=3600, tasks_count=workers_count, shape=shape(8)
+        )
+        blocker_ids = submit_all(front, [blocker])
+        wait_running(deployment, front, workers_count)
+        time.sleep(8.0)
+        idle = observe(deployment, bench.sizes.window_seconds)
+        _measure_requests(bench, deployment, placer, front, idle, blocker_ids[0])
+        queued_ids = _measure_queue(bench, deployment, placer, front, workers_count)
+        _measure_takeover_of_jobs(bench, deployment, placer, front, queued_ids)
+        placer, front = deployment.running_entries()
+        _measure_open_polls(bench, placer, front, blocker_ids[0])
+        _measure_waiting_callers(bench, deployment, blocker_ids[0])
+
+
+def _extra(used, idle, entry):
+    """Return the processor time of an entry beyond its idle use."""
+    name = entry.instance_id
+    share = used.at_seconds / idle.at_seconds
+    return used.processor_seconds[name] - share * idle.processor_seconds[name]
+
+
+def _extra_count(used, idle, name):
+    return used.count(name) - idle.count(name) * used.at_seconds / idle.at_seconds
+
+
+def _measure_placements(bench, deployment, placer, front, idle):
+    processor, front_processor, transfer, starts = [], [], [], []
+    reads, writes = [], []
+    repeats_count = bench.sizes.gangs_repeats_count
+    for tasks_count in bench.sizes.gang_tasks:
+        before = read_totals(deployment)
+        start_seconds = []
+        for n in range(repeats_count):
+            body = job(
+                f"place-{tasks_count}-{n}",
+                run_seconds=0.3,
+                tasks_count=tasks_count,
+                shape=shape(8),
+                urgency="urgent",
+            )
+            sent_seconds = time.monotonic()
+            status, answer = submit(front, body, wait_seconds=20)
+            assert (status, answer["outcome"]) == (200, "done"), answer
+            started_seconds = max(
+                event["time_seconds"]
+                for event in deployment.worker_journal()
+                if event["event"] == "start" and event["job_id"] == answer["job_id"]
+            )
+            start_seconds.append(started_seconds - sent_seconds)
+        used = read_totals(deployment).since(before)
+        processor.append((tasks_count, _extra(used, idle, placer) / repeats_count))
+        front_processor.append((tasks_count, _extra(used, idle, front) / repeats_count))
+        sent = used.forwarded_bytes["kumasi>workers"]
+        idle_sent = idle.forwarded_bytes["kumasi>workers"]
+        sent -= idle_sent * used.at_seconds / idle.at_seconds
+        transfer.append((tasks_count, sent / repeats_count))
+        starts.append((tasks_count, sum(start_seconds) / repeats_count))
+        for points, name in (
+            (reads, "table_reads_count"),
+            (writes, "table_writes_count"),
+        ):
+            extra = _extra_count(used, idle, name)
+            points.append((tasks_count, extra / repeats_count))
+    gangs = {"x_name": "tasks, one per worker"}
+    bench.add(
+        "processor_seconds_per_placement_per_worker",
+        processor,
+        title="Processor time of the placer for a job of 0.3 s from queue to results",
+        y_name="ms",
+        factor=1e3,
+        **gangs,
+    )
+    bench.add(
+        "front_processor_seconds_per_job_per_task",
+        front_processor,
+        title="Processor time of the front for a job that another instance places",
+        y_name="ms",
+        factor=1e3,
+        **gangs,
+    )
+    bench.add(
+        "worker_bytes_per_placement_per_worker",
+        transfer,
+        title="Bytes to and from workers for a job of 0.3 s",
+        y_name="bytes",
+        **gangs,
+    )
+    bench.add(
+        "start_seconds_per_worker",
+        starts,
+        title="Time from submission to the last start of the gang",
+        y_name="ms",
+        factor=1e3,
+        **gangs,
+    )
+    bench.add(
+        "table_reads_per_job_per_task",
+        reads,
+        title="Table reads per job",
+        y_name="reads",
+        **gangs,
+    )
+    bench.add(
+        "table_writes_per_job_per_task",
+        writes,
+        title="Table writes per job",
+        y_name="writes",
+        **gangs,
+    )
+
+
+def _measure_requests(bench, deployment, placer, front, idle, job_id):
+    front_points, placer_points, byte_points, read_points = [], [], [], []
+    for count in bench.sizes.requests:
+        before = read_totals(deployment)
+        for _ in range(count):
+            status, _answer = front.request("GET", f"/v1/jobs/{job_id}")
+            assert status == 202, status
+        used = read_totals(deployment).since(before)
+        front_points.append((count, _extra(used, idle, front)))
+        placer_points.append((count, _extra(used, idle, placer)))
+        share = used.at_seconds / idle.at_seconds
+        byte_points.append((count, used.peer_bytes() - share * idle.peer_bytes()))
+        read_points.append((count, _extra_count(used, idle, "table_reads_count")))
+    for name, points, title, unit, factor in (
+        (
+            "front_processor_seconds_per_forwarded_request",
+            front_points,
+            "Processor time of the front for state requests",
+            "ms",
+            1e3,
+        ),
+        (
+            "placer_processor_seconds_per_forwarded_request",
+            placer_points,
+            "Processor time of the placer for state requests of a peer",
+            "ms",
+            1e3,
+        ),
+        (
+            "peer_bytes_per_forwarded_request",
+            byte_points,
+            "Bytes on peer links for state requests",
+            "bytes",
+            1,
+        ),
+        (
+            "table_reads_per_forwarded_request",
+            read_points,
+            "Table reads for state requests",
+            "reads",
+            1,
+        ),
+    ):
+        bench.add(
+            name, points, title=title, x_name="requests", y_name=unit, factor=factor
+        )
+
+
+def _measure_queue(bench, deployment, placer, front, workers_count):
+    memory, processor = [], []
+    job_ids = []
+    for count in bench.sizes.queued_jobs:
+        bodies = [
+            job(f"wait-{n}", tasks_count=workers_count, shape=shape(8))
+            for n in range(len(job_ids), count)
+        ]
+        job_ids += submit_all(front, bodies)
+        time.sleep(1.0)
+        used = observe(deployment, bench.sizes.window_seconds)
+        spent = used.processor_seconds[placer.instance_id] / used.at_seconds
+        processor.append((count, spent))
+        memory.append((count, read_resident_bytes(placer.process.popen.pid)))
+    bench.add(
+        "resident_bytes_per_queued_job",
+        memory,
+        title="Resident memory of the placer",
+        x_name="queued jobs",
+        y_name="MB",
+        factor=1e-6,
+    )
+    bench.add(
+        "processor_seconds_per_second_per_queued_job",
+        processor,
+        title="Processor time of the placer while all accelerators are held",
+        x_name="queued jobs",
+        y_name="% of a core",
+        factor=100,
+    )
+    return job_ids
+
+
+def _measure_open_polls(bench, placer, front, job_id):
+    points = {"front": [], "placer": []}
+    with contextlib.ExitStack() as polls:
+        opened_count = 0
+        for count in bench.sizes.open_polls:
+            open_polls(polls, front, job_id, count - opened_count)
+            opened_count = count
+            for name, entry in (("front", front), ("placer", placer)):
+                pid = entry.process.popen.pid
+                points[name].append((count, read_resident_bytes(pid)))
+    for name, entry_points in points.items():
+        bench.add(
+            f"{name}_resident_bytes_per_connected_caller",
+            entry_points,
+            title=f"Resident memory of the {name}",
+            x_name="open long polls",
+            y_name="MB",
+            factor=1e-6,
+        )
+
+
+def _measure_waiting_callers(bench, deployment, job_id):
+    """Measure table reads of long polls whose placer has just died."""
+    points = []
+    for count in bench.sizes.open_polls:
+        add_entries(deployment, 2)
+        placer, front = deployment.running_entries()
+        with contextlib.ExitStack() as polls:
+            open_polls(polls, front, job_id, count)
+            placer.process.kill()
+            # The successor takes over after 2.5 s of silence.
+            used = observe(deployment, 2.0)
+            reads_count = used.count("table_reads_count")
+            points.append((count, reads_count / used.at_seconds))
+            deployment.remove_from_list(placer)
+            deployment.wait(
+                lambda front=front: log_times(front, "takeover finished"),
+                "the takeover is finished",
+                timeout_seconds=30.0,
+            )
+    bench.add(
+        "table_reads_per_second_per_caller_without_placer",
+        points,
+        title="Table reads while the placer of a job is dead",
+        x_name="open long polls",
+        y_name="reads/s",
+    )
+
+
+def open_polls(stack, front, job_id, count):
+    """Open long polls on plain sockets that are never read; wait for their start."""
+    request = (
+        f"GET /v1/jobs/{job_id}?wait_seconds=30 HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n"
+    )
+    for _ in range(count):
+        poll = socket.create_connection(("127.0.0.1", front.http_port), 5.0)
+        stack.enter_context(poll)
+        poll.sendall(request.encode())
+        # Keeps the listen queue short.
+        time.sleep(0.005)
+    time.sleep(1.5)
+
+
+def _measure_takeover_of_jobs(bench, deployment, placer, front, job_ids):
+    """Kill the placer several times, with fewer queued jobs each time."""
+    durations, reads = [], []
+    for count in sorted(bench.sizes.queued_jobs, reverse=True):
+        cancel_all(front, job_ids[count:])
+        job_ids = job_ids[:count]
+        time.sleep(1.0)
+        idle = observe(deployment, 2.0)
+        before = read_totals(deployment)
+        _, duration_seconds = take_over(deployment, placer, front)
+        used = read_totals(deployment).since(before)
+        durations.append((count, duration_seconds))
+        reads.append((count, _extra_count(used, idle, "table_reads_count")))
+        add_entries(deployment, 2)
+        placer, front = deployment.running_entries()
+        wait_workers(deployment, max(bench.sizes.gang_tasks))
+    bench.add(
+        "takeover_seconds_per_open_job",
+        durations,
+        title="Duration of a rebuild",
+        x_name="queued jobs",
+        y_name="ms",
+        factor=1e3,
+    )
+    bench.add(
+        "takeover_table_reads_per_open_job",
+        reads,
+        title="Table reads of a takeover, both instances",
+        x_name="queued jobs",
+        y_name="reads",
+    )
+
+
+def take_over(deployment, placer, successor):
+    """Kill a placer; return when its successor was done, and how long it rebuilt.
+
+    Returns
+    -------
+    gap_seconds : float
+        From the kill to the end of the rebuild.
+    duration_seconds : float
+        Of the rebuild alone.
+    """
+    known_count = len(log_times(successor, "takeover finished"))
+    killed = datetime.now().astimezone()
+    placer.process.kill()
+    deployment.remove_from_list(placer)
+    records = deployment.wait(
+        lambda: log_times(successor, "takeover finished")[known_count:],
+        "the takeover is finished",
+        timeout_seconds=60.0,
+    )
+    finished, record = records[-1]
+    gap_seconds = (finished - killed).total_seconds()
+    return gap_seconds, record["duration_seconds"]
+
+
+def measure_workers(bench):
+    """Measure memory, status polls and takeovers against the number of workers."""
+    memory, processor, sent, durations, gaps, reads, idle_use = ([] for _ in range(7))
+    for workers_count in bench.sizes.workers:
+        with start(
+            data_centres=("kumasi",), workers_count=workers_count, entries_count=1
+        ) as deployment:
+            add_entries(deployment, 2)
+            apply_lists(deployment, **make_lists(4))
+            wait_workers(deployment, workers_count)
+            placer, other = deployment.running_entries()
+            idle = observe(deployment, max(3.0, bench.sizes.window_seconds))
+            spent = idle.processor_seconds[placer.instance_id]
+            idle_use.append((workers_count, spent / idle.at_seconds))
+            memory.append(
+                (workers_count, read_resident_bytes(placer.process.popen.pid))
+            )
+            before = read_totals(deployment)
+            repeats_count = bench.sizes.status_repeats_count
+            for _ in range(repeats_count):
+                _, answer = other.request("GET", "/v1/status")
+            used = read_totals(deployment).since(before)
+            total = _extra(used, idle, placer) + _extra(used, idle, other)
+            processor.append((workers_count, total / repeats_count))
+            sent.append((workers_count, len(json.dumps(answer))))
+            before = read_totals(deployment)
+            gap_seconds, duration_seconds = take_over(deployment, placer, other)
+            used = read_totals(deployment).since(before)
+            durations.append((workers_count, duration_seconds))
+            gaps.append((workers_count, gap_seconds))
+            extra = _extra_count(used, idle, "table_reads_count")
+            reads.append((workers_count, extra))
+    workers = {"x_name": "workers"}
+    for name, points, title, unit, factor in (
+        (
+            "resident_bytes_per_known_worker",
+            memory,
+            "Resident memory of a placer without jobs",
+            "MB",
+            1e-6,
+        ),
+        (
+            "processor_seconds_per_second_per_idle_worker",
+            idle_use,
+            "Processor time of a placer without jobs, worker polls every 10 s",
+            "% of a core",
+            100,
+        ),
+        (
+            "processor_seconds_per_status_poll_per_worker",
+            processor,
+            "Processor time of a status poll, front and placer",
+            "ms",
+            1e3,
+        ),
+        (
+            "bytes_per_status_poll_per_worker",
+            sent,
+            "Size of the status answer",
+            "bytes",
+            1,
+        ),
+        (
+            "takeover_seconds_per_worker",
+            durations,
+            "Duration of a rebuild without jobs",
+            "ms",
+            1e3,
+        ),
+        (
+            "takeover_gap_seconds_per_worker",
+            gaps,
+            "Time from the kill of a placer to the end of the rebuild",
+            "ms",
+            1e3,
+        ),
+        (
+            "takeover_table_reads_per_worker",
+            reads,
+            "Table reads of a takeover without jobs",
+            "reads",
+            1,
+        ),
+    ):
+        bench.add(name, points, title=title, y_name=unit, factor=factor, **workers)
+
+
+def measure_platform_polls(bench):
+    """Measure polls of the instance list and of the configuration row."""
+    sizes = bench.sizes
+    interval_seconds = 0.25
+    processor, transfer, memory = [], [], []
+    with start(
+        data_centres=("kumasi",),
+        workers_count=1,
+        entries_count=1,
+        is_proxied=True,
+        settings={"peers": {"instances_poll_interval_seconds": interval_seconds}},
+    ) as deployment:
+        entry = deployment.running_entries()[0]
+        listed_count = len(deployment.instances())
+        for count in sizes.listed:
+            for n in range(listed_count, count):
+                deployment.platform.request(
+                    "PUT",
+                    f"/v1/instances/obuasi-worker-{n:05d}",
+                    {
+                        "kind": "worker",
+                        "data_centre": "obuasi",
+                        "address": f"http://10.1.{n // 256}.{n % 256}:8100",
+                        "state": "live",
+                    },
+                )
+            listed_count = count
+            time.sleep(2.0)
+            before = read_totals(deployment)
+            time.sleep(sizes.window_seconds)
+            used = read_totals(deployment).since(before)
+            polls_count = used.count("instances_reads_count")
+            spent = used.processor_seconds[entry.instance_id]
+            processor.append((count, spent / polls_count))
+            transfer.append(
+                (count, used.forwarded_bytes["kumasi>platform"] / polls_count)
+            )
+            memory.append((count, read_resident_bytes(entry.process.popen.pid)))
+    listed = {"x_name": "listed instances"}
+    for name, points, title, unit, factor in (
+        (
+            "processor_seconds_per_list_poll_per_listed_instance",
+            processor,
+            "Processor time of one poll of the instance list",
+            "ms",
+            1e3,
+        ),
+        (
+            "bytes_per_list_poll_per_listed_instance",
+            transfer,
+            "Bytes of one poll of the instance list",
+            "KB",
+            1e-3,
+        ),
+        (
+            "resident_bytes_per_listed_instance",
+            memory,
+            "Resident memory of an entry",
+            "MB",
+            1e-6,
+        ),
+    ):
+        bench.add(name, points, title=title, y_name=unit, factor=factor, **listed)
+    _measure_configuration_polls(bench, interval_seconds)
+
+
+def _measure_configuration_polls(bench, interval_seconds):
+    processor, transfer = [], []
+    with start(
+        data_centres=("kumasi",),
+        workers_count=1,
+        entries_count=1,
+        is_proxied=True,
+        settings={
+            "configuration": {"configuration_poll_interval_seconds": interval_seconds}
+        },
+    ) as deployment:
+        entry = deployment.running_entries()[0]
+        for count in bench.sizes.organisations:
+            apply_lists(deployment, **make_lists(count))
+            time.sleep(1.0)
+            used = observe(deployment, bench.sizes.window_seconds)
+            polls_count = used.count("table_reads_count")
+            spent = used.processor_seconds[entry.instance_id]
+            processor.append((count, spent / polls_count))
+            transfer.append(
+                (count, used.forwarded_bytes["kumasi>platform"] / polls_count)
+            )
+    bench.add(
+        "processor_seconds_per_configuration_poll_per_organisation",
+        processor,
+        title="Processor time of one poll of the configuration row",
+        x_name="organisations",
+        y_name="ms",
+        factor=1e3,
+    )
+    bench.add(
+        "bytes_per_configuration_poll_per_organisation",
+        transfer,
+        title="Bytes of one poll of the configuration row",
+        x_name="organisations",
+        y_name="bytes",
+    )
+
+
+def measure_instances(bench):
+    """Measure changes in force everywhere, and idle use, against instances."""
+    longest, idle_use, reads, writes, memory = ([] for _ in range(5))
+    for count in bench.sizes.instances:
+        per_centre_count = 2
+        names = tuple(f"centre-{n:02d}" for n in range(count // per_centre_count))
+        # The defaults of the daemon apply here.
+        with start_deployment(
+            data_centres=names, workers_count=1, entries_count=per_centre_count
+        ) as deployment:
+            wait_mesh(deployment)
+            wait_placers(deployment, timeout_seconds=60.0)
+            apply_lists(deployment, **make_lists(50))
+            time.sleep(2.0)
+            idle = observe(deployment, bench.sizes.window_seconds)
+            spent = sum(idle.processor_seconds.values()) / count
+            idle_use.append((count, spent / idle.at_seconds))
+            resident = max(
+                read_resident_bytes(entry.process.popen.pid)
+                for entry in deployment.running_entries()
+            )
+            memory.append((count, resident))
+            before = read_totals(deployment)
+            delays = [
+                _change_configuration(deployment)
+                for _ in range(bench.sizes.changes_count)
+            ]
+            used = read_totals(deployment).since(before)
+            longest.append((count, max(delays)))
+            for points, name in (
+                (reads, "table_reads_count"),
+                (writes, "table_writes_count"),
+            ):
+                extra = _extra_count(used, idle, name)
+                points.append((count, extra / bench.sizes.changes_count))
+    for name, points, title, unit, factor in (
+        (
+            "in_force_seconds_per_instance",
+            longest,
+            "Longest time from a change to in force everywhere",
+            "ms",
+            1e3,
+        ),
+        (
+            "idle_processor_seconds_per_second_per_instance",
+            idle_use,
+            "Processor time of an entry without jobs, mean, all defaults",
+            "% of a core",
+            100,
+        ),
+        (
+            "resident_bytes_per_instance",
+            memory,
+            "Resident memory of an entry without jobs, largest",
+            "MB",
+            1e-6,
+        ),
+        (
+            "table_reads_per_configuration_change_per_instance",
+            reads,
+            "Table reads per change beyond the polls",
+            "reads",
+            1,
+        ),
+        (
+            "table_writes_per_configuration_change_per_instance",
+            writes,
+            "Table writes per change",
+            "writes",
+            1,
+        ),
+    ):
+        bench.add(
+            name,
+            points,
+            title=title,
+            x_name="instances",
+            y_name=unit,
+            factor=factor,
+        )
+
+
+def _change_configuration(deployment):
+    """Record a change; return the time until the last log says it is in force."""
+    entries = deployment.running_entries()
+    entry = random.Random(SEED).choice(entries)
+    current = entry.request("GET", "/v1/configuration")[1]
+    body = {**make_lists(50), "expected_version": current["version"]}
+    sent = datetime.now().astimezone()
+    status, answer = entry.request(
+        "PUT", "/v1/configuration", body, timeout_seconds=15.0
+    )
+    assert status == 200, (status, answer)
+    version = re.compile(rf'"version": {answer["version"]}\b')
+
+    def times_in_force():
+        times = [
+            moment
+            for entry in entries
+            for moment, record in log_times(entry, "configuration in force")
+            if version.search(json.dumps(record))
+        ]
+        return times if len(times) == len(entries) else None
+
+    times = deployment.wait(
+        times_in_force, "the change is in force everywhere", timeout_seconds=30.0
+    )
+    return (max(times) - sent).total_seconds()
+
+
+MEASUREMENTS = {
+    "heartbeats": measure_heartbeats,
+    "renewals": measure_renewals,
+    "jobs": measure_jobs,
+    "workers": measure_workers,
+    "platform-polls": measure_platform_polls,
+    "instances": measure_instances,
+}
+
+
+def main(*, quick: bool = False, only: list[str] = ()):
+    """Measure slopes and print them; the last line is JSON.
+
+    :param quick: small sizes, under a minute; the slopes are rough.
+    :param only: names of measurements to run; default: all.
+    """
+    unknown = set(only) - set(MEASUREMENTS)
+    assert not unknown, f"unknown: {sorted(unknown)}; known: {sorted(MEASUREMENTS)}"
+    bench = Bench(sizes=QUICK if quick else FULL)
+    started_seconds = time.monotonic()
+
+    def measure(name):
+        MEASUREMENTS[name](bench)
+        elapsed_seconds = time.monotonic() - started_seconds
+        print(f"\n{name} done after {elapsed_seconds:.0f} s", flush=True)
+
+    names = list(only or MEASUREMENTS)
+    # Side by side, a quick run fits into a minute; durations are less exact.
+    with ThreadPoolExecutor(len(names) if quick else 1) as executor:
+        list(executor.map(measure, names))
+    run = {
+        "is_quick": quick,
+        "duration_seconds": round(time.monotonic() - started_seconds, 1),
+        "cores_count": os.cpu_count(),
+        "load_average_1_minute": round(os.getloadavg()[0], 1),
+    }
+    lines = {name: attrs.asdict(line) for name, line in bench.lines.items()}
+    print(json.dumps({"run": run, "slopes": lines}))
+
+
+if __name__ == "__main__":
+    defopt.run(main)
