Place a slot again when its adjacency tightens

With few workers known no rack could hold a gang of three workers, so its slot spanned racks; when a third worker of the rack was reported, leaving, the adjacency of the gang was one rack again, but its slot kept the old footprint and no shortfall was reported. Ruled out: keeping the wider adjacency until the slot is used, because callers of a guaranteed gang would get accelerators that are not adjacent. Change: packing keeps a footprint only if it has the present adjacency; a running gang keeps its workers and its slot is packed when it ends.

--- a/kingcuptrack/state/guarantees.py
+++ b/kingcuptrack/state/guarantees.py
@@ -23,7 +23,7 @@
     take,
     task_needs,
 )
-from .placement import best_fit_by_rack, domains, fill, natural_level
+from .placement import Level, best_fit_by_rack, domains, fill, natural_level
 from .plans import PLANS_FILE
 from .shares import data_centre_shares
 
@@ -192,9 +192,21 @@
     for worker_ids in racks.values():
         for worker_id in worker_ids:
             set_amounts(packing.room, worker_id, capacities[worker_id])
+    rack_of = {item: rack for rack, ids in racks.items() for item in ids}
+
+    def is_adjacent(slot):
+        level = level_of(slot.kind)
+        workers = set(slot.worker_ids)
+        if level == Level.WORKER:
+            return len(workers) == 1
+        return level > Level.RACK or len({rack_of.get(item) for item in workers}) == 1
+
     demoted = []
     for job_id, gang in gangs.items():
-        if not _bind_running(packing, bound_before, shares, kinds, job_id, gang):
+        before = bound_before.get(job_id)
+        if before is not None and (before.is_partial or not is_adjacent(before)):
+            before = None
+        if not _bind_running(packing, before, shares, kinds, job_id, gang):
             demoted.append(job_id)
     for slot in packing.slot_by_job.values():
         if slot.is_partial and slot.organisation in kinds:
@@ -205,7 +217,7 @@
         footprints = [
             slot.worker_ids
             for slot in previous.get((organisation, kind), ())
-            if not slot.is_partial
+            if not slot.is_partial and slot.worker_ids and is_adjacent(slot)
         ]
         for _ in range(share - len(packing.slots[organisation])):
             slot = _add_slot(packing, organisation, kind)
@@ -287,27 +299,18 @@
     return slot
 
 
-def _bind_running(packing, bound_before, shares, kinds, job_id, gang):
+def _bind_running(packing, before, shares, kinds, job_id, gang):
+    """Give a running gang a slot, with the footprint of ``before`` if it is valid."""
     organisation, needs, worker_ids, can_be_reclaimed = gang
     is_in_share = len(packing.slots.get(organisation, ())) < shares.get(organisation, 0)
     if not is_in_share and can_be_reclaimed:
         return False
-    before = bound_before.get(job_id)
     kind = kinds.get(organisation)
-    is_whole = (
-        is_in_share
-        and before is not None
-        and before.kind == kind
-        and not before.is_partial
-    )
-    if is_whole:
-        slot = _add_slot(packing, organisation, kind)
-        bind_slot(packing, slot, job_id)
-        if _try_footprint(packing, slot, before.worker_ids):
-            return True
-    else:
-        slot = _add_slot(packing, organisation, kind)
-        bind_slot(packing, slot, job_id)
+    slot = _add_slot(packing, organisation, kind)
+    bind_slot(packing, slot, job_id)
+    is_whole = is_in_share and before is not None and before.kind == kind
+    if is_whole and _try_footprint(packing, slot, before.worker_ids):
+        return True
     # The gang keeps what it uses; the rest of the slot has no valid footprint now.
     slot.kind = Kind(tasks_count=len(worker_ids), needs=needs)
     slot.is_partial = True
