Decide only what isolation allows

Cause: an isolated data centre may start only repeatable work that is guaranteed or urgent. Decisions for other work took capacity, were refused at the start and queued again, over and over. Ruled out: leaving it to the check before a start alone, for that reason; the check stays, because isolation may begin between decision and start. Change: decide takes is_isolated. Guaranteed starts come from the queue of jobs that may also borrow, since jobs that may only run guaranteed are not repeatable. Waiting reasons say that the data centre is isolated.

--- a/kingcuptrack/state/commitments.py
+++ b/kingcuptrack/state/commitments.py
@@ -6,7 +6,7 @@
 from .cluster import ACCELERATORS, hold_tasks, release_plan, start_tasks, task_needs
 from .guarantees import unbind_slot
 from .jobs import Urgency
-from .limits import access_of, quota_excess
+from .limits import access_of, is_kept_by_isolation, quota_excess
 from .model import Hold, PlacedGang, ReclaimGang, StartGang, Use, plan_of
 from .queues import drop_job, push_job
 from .reclaim import gang_cost
@@ -144,7 +144,12 @@
                 amounts[index] += amount
         plan = plan_of(scheduler, spec.organisation)
         use = scheduler.use[spec.organisation]
-        is_ready = quota_excess(spec, plan, use.now[ACCELERATORS]) <= 0
+        is_kept = is_kept_by_isolation(round_.is_isolated, spec) or (
+            round_.is_isolated
+            and not hold.is_guaranteed
+            and spec.urgency == Urgency.PATIENT
+        )
+        is_ready = not is_kept and quota_excess(spec, plan, use.now[ACCELERATORS]) <= 0
         for worker_id, amounts in needed.items():
             taken = blocked.get(worker_id, (0,) * 5)
             is_ready = is_ready and all(
--- a/kingcuptrack/state/limits.py
+++ b/kingcuptrack/state/limits.py
@@ -96,6 +96,15 @@
     return count
 
 
+def is_kept_by_isolation(is_isolated, spec):
+    """Return whether isolation keeps a job from any start.
+
+    A job that is not repeatable needs a claim in the table, which an isolated data
+    centre cannot reach.
+    """
+    return is_isolated and not spec.is_repeatable
+
+
 def quota_excess(spec, plan, used_count):
     """Return by how many accelerators a gang would exceed the quota."""
     return used_count + gang_accelerators_count(spec) - plan.quota_accelerators_count
--- a/kingcuptrack/state/model.py
+++ b/kingcuptrack/state/model.py
@@ -150,6 +150,7 @@
     unfit: dict = attrs.field(factory=dict)
     unreclaimable: dict = attrs.field(factory=dict)
     is_dirty: bool = True
+    is_isolated: bool = False
 
     @property
     def workers(self):
@@ -163,6 +164,7 @@
 
     now_seconds: float
     attempts_left_count: int
+    is_isolated: bool = False
     decisions: list = attrs.field(factory=list)
 
 
--- a/kingcuptrack/state/scheduling.py
+++ b/kingcuptrack/state/scheduling.py
@@ -31,7 +31,7 @@
 from .guaranteed import attempt_guaranteed
 from .guarantees import plan_kind, repack, shortfalls, unbind_slot, unused_slots
 from .jobs import Urgency
-from .limits import refusal
+from .limits import is_kept_by_isolation, refusal
 from .model import (
     CapacitySummary,
     JobHistory,
@@ -52,6 +52,7 @@
 from .queues import (
     BORROWED_ACCESSES,
     GUARANTEED_ACCESSES,
+    Access,
     Queues,
     all_jobs,
     drop_job,
@@ -199,28 +200,34 @@
     scheduler.remote_use = dict(accelerators_count_by_organisation)
 
 
-def decide(scheduler, *, now_seconds):
+def decide(scheduler, *, now_seconds, is_isolated=False):
     """Return the decisions possible now; capacity of starts is assigned.
 
     Examines the oldest jobs of each queue and attempts a bounded number of
-    placements; each costs at most linear time in the workers.
+    placements; each costs at most linear time in the workers. While the data centre
+    is isolated, only repeatable work that is guaranteed or urgent starts.
     """
     round_ = Round(
-        now_seconds=now_seconds, attempts_left_count=scheduler.attempts_limit_count
+        now_seconds=now_seconds,
+        attempts_left_count=scheduler.attempts_limit_count,
+        is_isolated=is_isolated,
     )
+    scheduler.is_isolated = is_isolated
     scheduler.reasons.clear()
     _queue_delayed(scheduler, now_seconds)
     _repair(scheduler)
     if not scheduler.cluster.workers or is_out(scheduler):
         return round_.decisions
     start_held_gangs(scheduler, round_)
-    follow_reservation(scheduler, round_)
-    for accesses, attempt in (
-        (GUARANTEED_ACCESSES, attempt_guaranteed),
-        (BORROWED_ACCESSES, attempt_borrowed),
-    ):
-        for urgency in (Urgency.URGENT, Urgency.PATIENT):
-            _run_pass(scheduler, round_, urgency, accesses, attempt)
+    if not is_isolated:
+        follow_reservation(scheduler, round_)
+    borrowing = (Urgency.URGENT,) if is_isolated else (Urgency.URGENT, Urgency.PATIENT)
+    # Jobs that may only run guaranteed are not repeatable, so isolation keeps them.
+    guaranteed = (Access.EITHER,) if is_isolated else GUARANTEED_ACCESSES
+    for urgency in (Urgency.URGENT, Urgency.PATIENT):
+        _run_pass(scheduler, round_, urgency, guaranteed, attempt_guaranteed)
+    for urgency in borrowing:
+        _run_pass(scheduler, round_, urgency, BORROWED_ACCESSES, attempt_borrowed)
     # A hold that took over a promise, and needs no gang to stop, is ready at once.
     start_held_gangs(scheduler, round_)
     return round_.decisions
@@ -344,6 +351,11 @@
         return f"data centre {scheduler.data_centre} is out of service"
     if not scheduler.cluster.workers:
         return "no worker of this data centre is known"
+    if is_kept_by_isolation(scheduler.is_isolated, job.spec):
+        return (
+            f"data centre {scheduler.data_centre} is isolated and the job is not "
+            "repeatable"
+        )
     if job_id in scheduler.holds:
         return hold_reason(scheduler, scheduler.holds[job_id])
     if job_id in scheduler.delayed:
@@ -355,6 +367,11 @@
     refused = refusal(scheduler, job.spec)
     if refused is not None:
         return refused.message
+    if scheduler.is_isolated and job.spec.urgency == Urgency.PATIENT:
+        return (
+            f"data centre {scheduler.data_centre} is isolated and the job is neither "
+            "urgent nor next for guaranteed capacity"
+        )
     return f"behind older jobs of organisation {job.spec.organisation}"
 
 
@@ -517,6 +534,8 @@
         for job in jobs:
             if round_.attempts_left_count <= 0:
                 break
+            if is_kept_by_isolation(round_.is_isolated, job.spec):
+                continue
             if attempt(scheduler, round_, job, plan):
                 # Other jobs of the organisation have their turn by its new share.
                 rest = first_jobs(scheduler.queues, organisation, urgency, accesses, 1)
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -282,6 +282,19 @@
     check.assertEqual(counts[0], counts[1])
 
 
+def test_isolated_data_centre_starts_repeatable_guaranteed_or_urgent_work():
+    """Guards against starts without a claim while the table cannot be reached."""
+    scheduler = make_scheduler(4, design=make_plan(2, 1, 8), sales=NONE)
+    add_jobs(scheduler, make_job("once", "design", 1, 8, is_repeatable=False))
+    add_jobs(scheduler, make_job("g", "design", 1, 8), make_job("p", "sales", 1, 8))
+    add_jobs(scheduler, make_job("u", "sales", 1, 8, urgent=True))
+    decisions = decide(scheduler, now_seconds=0.0, is_isolated=True)
+    check.assertEqual([item.gang.job.job_id for item in decisions], ["g", "u"])
+    for job_id in ("once", "p"):
+        check.assertIn("isolated", waiting_reason(scheduler, job_id))
+    check.assertEqual(run(scheduler), (["once", "p"], []))
+
+
 def test_adopted_gangs_keep_their_guarantee():
     """Guards against a takeover that loses track of guaranteed gangs."""
     first = make_scheduler(1, design=ONE, sales=ONE)
