--- a/tests/test_scheduling_fuzz.py
+++ b/tests/test_scheduling_fuzz.py
@@ -171,11 +171,20 @@
             if add_job(self.scheduler, job, now_seconds=self.now_seconds) is None:
                 self.waiting[job.job_id] = job
 
-    @rule(seconds=st.sampled_from([0.1, 1.0, 15.0, 100.0]))
-    def decide(self, seconds):
+    @rule(
+        seconds=st.sampled_from([0.1, 1.0, 15.0, 100.0]),
+        is_isolated=st.sampled_from([False, False, False, True]),
+    )
+    def decide(self, seconds, is_isolated):
         self.now_seconds += seconds
-        for decision in decide(self.scheduler, now_seconds=self.now_seconds):
+        for decision in decide(
+            self.scheduler, now_seconds=self.now_seconds, is_isolated=is_isolated
+        ):
             if isinstance(decision, StartGang):
+                spec = decision.gang.job.spec
+                assert spec.is_repeatable or not is_isolated
+                if not decision.gang.is_guaranteed and is_isolated:
+                    assert spec.urgency == Urgency.URGENT
                 self.record_start(decision.gang)
             else:
                 self.record_reclaim(decision)
