Show guaranteed use and adjacency in the demonstration

Cause: with one rack in each data centre every gang was adjacent, and nothing showed that a guaranteed gang is counted as such. Change: two racks of four workers, a check of the use that the status shows while the gang runs, and a render of 6 s so that the urgent checks run beside it.

--- a/emulator/demo.py
+++ b/emulator/demo.py
@@ -20,6 +20,8 @@
 from tests.support import ROOT
 
 DATA_CENTRES = ("kumasi", "obuasi", "konongo")
+# Two racks in each data centre, so that adjacency is a choice.
+WORKERS_OPTIONS = {"workers-per-rack": 4}
 ORGANISATIONS = "examples/organisations.ini"
 PLANS = "examples/plans.ini"
 URGENT_BOUND_SECONDS = 5.1
@@ -106,10 +108,17 @@
     text = run_client(
         "caller",
         *("submit", "--job-file", "examples/render.json"),
+        *("--payload", json.dumps({"run_seconds": 6.0, "result": "frames"})),
         entries=entries,
         exit_code=EXIT_PENDING,
     )
     job_id = job_id_of(text)
+    text = run_client("operator", "status", entries=entries)
+    rows = [line.split() for line in text.splitlines()]
+    require(
+        ["designers", "renders", "48", "128", "16"] in [row[:5] for row in rows],
+        "the render uses 16 guaranteed accelerators",
+    )
     for number in (1, 2, 3):
         started_seconds = time.monotonic()
         run_client(
@@ -227,7 +236,6 @@
 
 def run_all(deployment, entries):
     """Run and check every part of the demonstration."""
-    run_client("operator", "status", entries=entries)
     run_render(deployment, entries)
     run_catalogue(deployment, entries[0], entries[1])
     take_out_and_return(deployment, "obuasi", entries)
@@ -240,7 +248,9 @@
     """
     started_seconds = time.monotonic()
     try:
-        with start_deployment(data_centres=DATA_CENTRES) as deployment:
+        with start_deployment(
+            data_centres=DATA_CENTRES, workers_options=WORKERS_OPTIONS
+        ) as deployment:
             entries = deployment.running_entries()
             print(f"started {len(entries)} entry instances in {DATA_CENTRES}")
             wait_workers(deployment)
