--- a/kingcuptrack/tools/caller.py
+++ b/kingcuptrack/tools/caller.py
@@ -22,6 +22,7 @@
 from ..state.jobs import TaskResult, Urgency, make_job_id, verify_result
 from .client import (
     UsageError,
+    check_seconds,
     describe_findings,
     gather_urls,
     run_command,
@@ -113,6 +114,7 @@
     }
 
     async def command(client):
+        check_seconds(wait_seconds=wait_seconds, retry_seconds=retry_seconds)
         body = make_body(flags, shape_flags, job_file, payload_file)
         spec, findings = parse_job_spec(json_module.dumps(body))
         if findings:
@@ -157,6 +159,7 @@
 
     async def command(client):
         check_job_id(job_id)
+        check_seconds(timeout_seconds=timeout_seconds)
         answer = await wait_for_outcome(client, job_id, timeout_seconds=timeout_seconds)
         answer = check_results(answer)
         return report(answer, answer.get("findings", []), json=json)
--- a/kingcuptrack/tools/client.py
+++ b/kingcuptrack/tools/client.py
@@ -137,6 +137,17 @@
     return list(dict.fromkeys(url.rstrip("/") for url in urls))
 
 
+def check_seconds(**values):
+    """Raise `UsageError` unless each value is a duration, which may be infinite."""
+    for name, value in values.items():
+        # Comparisons with NaN are false, so that a loop would never end.
+        if not value >= 0.0:
+            flag = name.replace("_", "-")
+            raise UsageError(
+                f"--{flag} must be a number of seconds from 0, not {value}"
+            )
+
+
 def gather_urls(arguments):
     """Return command-line arguments with all entry URLs behind one flag at the end.
 
--- a/kingcuptrack/tools/operator.py
+++ b/kingcuptrack/tools/operator.py
@@ -14,7 +14,7 @@
 import defopt
 
 from ..outcomes import Done, Refused
-from .client import UsageError, gather_urls, run_command
+from .client import UsageError, check_seconds, gather_urls, run_command
 from .reports import (
     LISTS,
     describe_take_out,
@@ -119,6 +119,7 @@
     """
 
     async def command(client):
+        check_seconds(timeout_seconds=timeout_seconds)
         lists = read_lists(organisations, plans)
         current = await read_configuration(client)
         if isinstance(current, int):
@@ -175,10 +176,11 @@
     """
 
     async def command(client):
+        check_seconds(timeout_seconds=timeout_seconds)
         # A repeated order takes the same data centre out again, which is harmless.
         outcome = await client.request(
             "POST",
-            f"/v1/data-centres/{quote(name, safe='')}/out",
+            f"/v1/data-centres/{quote(name, safe='', errors='replace')}/out",
             timeout_seconds=REQUEST_TIMEOUT_SECONDS,
         )
         if not isinstance(outcome, Done):
@@ -216,10 +218,11 @@
     """
 
     async def command(client):
+        check_seconds(timeout_seconds=timeout_seconds)
         # Not repeated after a lost answer: it could undo a take-out made meanwhile.
         outcome = await client.request(
             "POST",
-            f"/v1/data-centres/{quote(name, safe='')}/in",
+            f"/v1/data-centres/{quote(name, safe='', errors='replace')}/in",
             timeout_seconds=REQUEST_TIMEOUT_SECONDS,
             may_repeat=False,
         )
@@ -345,6 +348,7 @@
     """
 
     async def command(client):
+        check_seconds(timeout_seconds=timeout_seconds)
         rows = await poll_in_force(client, version, timeout_seconds=timeout_seconds)
         if isinstance(rows, int):
             return rows
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -95,6 +95,16 @@
         check.assertEqual(seen["outcome"], expected, outcomes)
 
 
+def test_durations_that_never_pass_are_bad_usage():
+    """Guards against a wait that never ends because NaN compares as false."""
+    for seconds in (float("nan"), -1.0):
+        errors = io.StringIO()
+        with contextlib.redirect_stderr(errors):
+            exit_code = caller.wait(JOB_ID, timeout_seconds=seconds, entry_url=URLS)
+        check.assertEqual(exit_code, 2)
+        check.assertIn("--timeout-seconds", errors.getvalue())
+
+
 def test_findings_are_reported_before_anything_is_sent():
     """Guards against a batch without a key that a retry could not find."""
     output = io.StringIO()
