--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -35,8 +35,8 @@
     return answered(status, json.dumps(body).encode())
 
 
-def submit(*outcomes, is_new_key=True):
-    """Submit at two URLs without retries; return the answer."""
+def submit(*outcomes, is_new_key=True, retry_seconds=0.0):
+    """Submit at two URLs; return the answer."""
     http_client = ScriptedHttpClient(*outcomes)
     client = EntryClient(URLS, http_client=http_client)
 
@@ -46,7 +46,7 @@
             JOB_ID,
             {},
             wait_seconds=0.0,
-            retry_seconds=0.0,
+            retry_seconds=retry_seconds,
             is_new_key=is_new_key,
         )
 
@@ -74,7 +74,7 @@
 
 def test_not_run_is_reported_only_if_no_earlier_try_may_have_run():
     """Guards against a user who submits a batch again because of a false answer."""
-    leaving = answer("not_run", 503, code="leaving")
+    leaving = answer("not_run", 503, code="leaving", reason="this instance is leaving")
     unavailable = answer("not_run", 503, code="unavailable")
     conflict = answer("not_run", 409, code="key_conflict")
     cancelled = answer("not_run", 200, phase="cancelled")
@@ -93,6 +93,10 @@
     for outcomes, is_new_key, expected in cases:
         seen = submit(*outcomes, is_new_key=is_new_key)
         check.assertEqual(seen["outcome"], expected, outcomes)
+    # A later round does not forget the lost answers of the first.
+    seen = submit(LOST, LOST, leaving, retry_seconds=0.35)
+    check.assertEqual(seen["outcome"], "unknown")
+    check.assertIn("this instance is leaving", seen["reason"])
 
 
 def test_durations_that_never_pass_are_bad_usage():
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -16,7 +16,7 @@
 
 
 class ScriptedHttpClient:
-    """Answers requests from a list and records the URLs asked."""
+    """Answers requests from a list, the last one always, and records the URLs."""
 
     def __init__(self, *outcomes):
         self.outcomes = list(outcomes)
@@ -24,7 +24,7 @@
 
     async def request(self, method, url, *, timeout_seconds, body=None):
         self.urls.append(url)
-        return self.outcomes.pop(0)
+        return self.outcomes.pop(0) if len(self.outcomes) > 1 else self.outcomes[0]
 
 
 def answered(status, body):
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -69,27 +69,38 @@
 def test_instances_that_did_not_confirm_are_named():
     """Guards against a take-out called in force while an instance is silent."""
     with start_deployment(
-        data_centres=("kumasi", "obuasi"), entries_count=1, workers_count=1
+        data_centres=("kumasi", "obuasi"), workers_count=1
     ) as deployment:
         apply_lists(deployment)
         wait_placers(deployment)
-        kumasi, obuasi = deployment.running_entries()
-        obuasi.process.pause()
+        first, *paused = sorted(
+            deployment.running_entries(), key=lambda entry: entry.instance_id
+        )
+        for entry in paused:
+            entry.process.pause()
         status = deployment.wait(
-            lambda: find_unanswered(kumasi), "obuasi does not answer"
+            lambda: find_unanswered(first), "obuasi does not answer"
         )
         check.assertEqual(status["unanswered_data_centres"], ["obuasi"])
-        _, answer = kumasi.request("POST", "/v1/data-centres/obuasi/out")
+        _, answer = first.request("POST", "/v1/data-centres/kumasi/out")
         check.assertEqual((answer["outcome"], answer["version"]), ("recorded", 2))
+        check.assertEqual(answer["confirmed_by"], [first.instance_id])
+        check.assertEqual(answer["unconfirmed"], [paused[0].instance_id])
         check.assertFalse(answer["is_in_force"])
-        check.assertEqual(answer["unconfirmed"], [obuasi.instance_id])
-        obuasi.process.resume()
-        deployment.wait(lambda: not find_unanswered(kumasi), "obuasi answers again")
-        _, answer = kumasi.request("POST", "/v1/data-centres/obuasi/out")
+        for entry in paused:
+            entry.process.resume()
+        deployment.wait(lambda: hears_all(first), "all instances are heard again")
+        _, answer = first.request("POST", "/v1/data-centres/kumasi/out")
         check.assertEqual(answer["version"], 3)
         check.assertTrue(answer["is_in_force"], answer)
 
 
+def hears_all(entry):
+    """Whether an entry has heard from all instances lately."""
+    rows = entry.request("GET", "/v1/status")[1]["in_force"]
+    return all(row["silent_seconds"] == 0.0 for row in rows)
+
+
 def find_unanswered(entry):
     """Return the status if any data centre does not answer."""
     status = entry.request("GET", "/v1/status")[1]
