--- a/kingcuptrack/coordination/front.py
+++ b/kingcuptrack/coordination/front.py
@@ -1,5 +1,6 @@
 """Front: serves callers from any instance."""
 
+import hashlib
 import time
 import uuid
 
@@ -19,6 +20,12 @@
 )
 from .routing import TRIES_COUNT
 
+# A placer that dies is replaced within this time, so a submission waits as long.
+TAKEOVER_SECONDS = 5.0
+
+# Refusals that mean that no placer was reached.
+NO_PLACER_CODES = frozenset({"unreachable", "no_placer", "not_placer"})
+
 # Pause before a placer is asked again after a takeover or a lost answer.
 ASK_AGAIN_SECONDS = 0.3
 
@@ -63,7 +70,11 @@
             return _not_run(job_id, refusal)
         if refusal is not None:
             return await self._refuse_unless_recorded(job_id, spec, refusal)
+        deadline_seconds = time.monotonic() + TAKEOVER_SECONDS
         choice = self._router.choose(spec, job_id)
+        while choice is None and self._may_await_placer(deadline_seconds):
+            await anyio.sleep(ASK_AGAIN_SECONDS)
+            choice = self._router.choose(spec, job_id)
         if choice is None:
             refusal = Refused(
                 code="no_placer",
@@ -115,6 +126,9 @@
             return _reply_answer(outcome.value)
         return _pending(job_id, "cancellation not confirmed; try again")
 
+    def _may_await_placer(self, deadline_seconds):
+        return not self.is_stopping.is_set() and time.monotonic() < deadline_seconds
+
     def _check_acceptance(self, spec):
         if self.is_stopping.is_set():
             return Refused(
@@ -140,8 +154,10 @@
 
     async def _submit_recorded(self, current, wait_seconds):
         outcome, current = await self._router.submit_recorded(current)
-        if isinstance(outcome, Refused):
+        is_refused = isinstance(outcome, Refused)
+        if is_refused and outcome.code not in NO_PLACER_CODES:
             return await self._record_refusal(current, outcome)
+        # Without a placer the row waits for the one that takes over.
         return await self.read(current.row.job_id, wait_seconds=wait_seconds)
 
     async def _record_refusal(self, current, refusal):
@@ -216,32 +232,49 @@
                 code="unavailable", message=message, retry_after_seconds=2.0
             )
             return _not_run(row.job_id, refusal)
-        data_centre = row.data_centre
-        excluded = set()
         message = SubmitJob(
             job_id=row.job_id,
             spec=spec,
             row_version=0,
             may_have_row=isinstance(outcome, Unknown),
         )
-        for _ in range(TRIES_COUNT):
-            submitted = await self._router.submit(data_centre, message)
+        deadline_seconds = time.monotonic() + TAKEOVER_SECONDS
+        while True:
+            data_centre, submitted = await self._offer_unrecorded(message)
             if isinstance(submitted, Done):
                 self._unrecorded[row.job_id] = data_centre
                 return await self.read(row.job_id, wait_seconds=wait_seconds)
             if isinstance(submitted, Unknown):
                 return _unknown(row.job_id, submitted.message)
-            if submitted.code == "key_conflict":
-                return _not_run(row.job_id, submitted)
-            excluded.add(data_centre)
-            data_centre = self._router.choose(spec, row.job_id, excluded=excluded)
-            if data_centre is None:
+            is_placer_missing = submitted.code in NO_PLACER_CODES
+            if not is_placer_missing or not self._may_await_placer(deadline_seconds):
                 break
+            await anyio.sleep(ASK_AGAIN_SECONDS)
         if isinstance(outcome, Unknown):
             # The lost insertion may still lead a placer to the job.
             return _unknown(row.job_id, submitted.message)
         return _not_run(row.job_id, submitted)
 
+    async def _offer_unrecorded(self, message):
+        """Offer a job without a row to placers; return the last one and its outcome.
+
+        The order follows from the job id alone, so that retries of one key at several
+        instances reach the same placer.
+        """
+        names = {candidate.data_centre for candidate in self._router.candidates()}
+
+        def rank(name):
+            return hashlib.sha256(f"{message.job_id}\0{name}".encode()).digest()
+
+        name = None
+        outcome = Refused(code="no_placer", message="no data centre has a placer")
+        for name in sorted(names, key=rank)[:TRIES_COUNT]:
+            outcome = await self._router.submit(name, message)
+            is_conflict = getattr(outcome, "code", "") == "key_conflict"
+            if not isinstance(outcome, Refused) or is_conflict:
+                break
+        return name, outcome
+
     async def _read_once(self, job_id, wait_seconds):
         data_centre = self._unrecorded.get(job_id)
         read = None
--- /dev/null
+++ b/tests/test_graceful_stop.py
@@ -0,0 +1,150 @@
+"""Termination signals under load: every request that was sent gets its answer."""
+
+import itertools
+import threading
+import time
+
+import httpcore
+
+from .oracle import job_id_of
+from .shared import new_job, placer, shared_tests, wait_event
+from .support import check
+
+DATA_CENTRES = ("kumasi", "obuasi")
+load_tests = shared_tests(__name__, data_centres=DATA_CENTRES, workers_count=8)
+
+# Defaults of stop_notice_seconds and stop_timeout_seconds, and one second to exit.
+STOP_SECONDS = 3.0 + 20.0 + 1.0
+CALLERS_COUNT = 4
+
+
+class Load:
+    """Callers that send requests to one instance over connections kept open.
+
+    A caller stops when the instance refuses a new connection, as a balancer does
+    once an instance is gone. ``cut_off`` lists requests that were sent and not
+    answered.
+    """
+
+    def __init__(self, oracle, entry):
+        self.cut_off = []
+        self.answered_count = 0
+        self._oracle = oracle
+        self._entry = entry
+        self._threads = [
+            threading.Thread(target=self._run, args=(number,))
+            for number in range(CALLERS_COUNT)
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def _run(self, number):
+        body = new_job("load", is_repeatable=number % 2 == 0, run_seconds=0.05)
+        job_id = job_id_of(body)
+        self._oracle.submit(self._entry, body)
+        url = f"{self._entry.url}/v1/jobs/{job_id}?wait_seconds=1"
+        with httpcore.ConnectionPool() as pool:
+            for count in itertools.count():
+                try:
+                    pool.request("GET", url, headers={"host": "127.0.0.1"})
+                    self.answered_count += 1
+                except httpcore.ConnectError:
+                    return
+                except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+                    self.cut_off.append((number, count, repr(error)))
+                    return
+
+    def finish(self):
+        """Wait for the callers and assert that no request was cut off."""
+        for thread in self._threads:
+            thread.join(STOP_SECONDS)
+        check.assertEqual(self.cut_off, [])
+        check.assertGreater(self.answered_count, CALLERS_COUNT)
+
+
+def stop_under_load(oracle, entry, *, signals_count):
+    """Terminate an instance that has open requests; every one must be answered."""
+    load = Load(oracle, entry)
+    body = new_job("long-poll", run_seconds=1.5, is_repeatable=False)
+    waiting = oracle.start(oracle.submit, entry, body, wait_seconds=20)
+    wait_event(oracle, job_id_of(body), "task_start", count=2)
+    for _ in range(signals_count):
+        entry.process.terminate()
+        # The second signal arrives while the first one is being handled.
+        oracle.deployment.wait(
+            lambda: not entry.process.is_running or not entry.is_ready(),
+            "the instance is leaving",
+        )
+    refused = new_job("refused", is_repeatable=False)
+    _, refusal = oracle.submit(entry, refused)
+    check.assertEqual(refusal and refusal["outcome"], "not_run", refusal)
+    load.finish()
+    job_id, answer = waiting.result()
+    check.assertIn(answer and answer["outcome"], ("done", "pending"), answer)
+    oracle.deployment.wait(
+        lambda: not entry.process.is_running,
+        "the instance has ended",
+        timeout_seconds=STOP_SECONDS,
+        processes=[],
+    )
+    check.assertEqual(entry.process.popen.returncode, 0)
+    return job_id
+
+
+def test_placer_that_stops_cuts_off_no_request(oracle):
+    """Guards against lost answers and lost gangs when the placer is terminated."""
+    entry = placer(oracle.deployment, DATA_CENTRES[0])
+    job_id = stop_under_load(oracle, entry, signals_count=1)
+    check.assertEqual(oracle.settle([job_id])[job_id]["outcome"], "done")
+
+
+def test_second_signal_cuts_off_no_request(oracle):
+    """Guards against a second termination signal that ends the process at once."""
+    entry = oracle.deployment.running_entries(DATA_CENTRES[1])[-1]
+    stop_under_load(oracle, entry, signals_count=2)
+
+
+def test_stop_while_the_table_is_down(oracle):
+    """Guards against requests cut off when stop and table outage coincide."""
+    deployment = oracle.deployment
+    entry = placer(deployment, DATA_CENTRES[1])
+    body = new_job("outage", run_seconds=1.0)
+    waiting = oracle.start(oracle.submit, entry, body, wait_seconds=10)
+    wait_event(oracle, job_id_of(body), "task_start", count=2)
+    deployment.platform_fault("down", service="table", delay_seconds=2.0)
+    entry.process.terminate()
+    _, answer = waiting.result()
+    check.assertIn(answer and answer["outcome"], ("done", "pending"), answer)
+    deployment.wait(
+        lambda: not entry.process.is_running,
+        "the instance has ended",
+        timeout_seconds=STOP_SECONDS,
+        processes=[],
+    )
+
+
+def test_slow_reader_gets_its_whole_answer(oracle):
+    """Guards against an answer cut short because its reader was slow."""
+    deployment = oracle.deployment
+    entry = deployment.running_entries(DATA_CENTRES[0])[-1]
+    # Larger than the socket buffers of both ends.
+    payload = {"result_bytes": 4_000_000}
+    body = new_job("large", payload=payload)
+    job_id, _ = oracle.submit(entry, body)
+    oracle.settle([job_id])
+    url = f"{entry.url}/v1/jobs/{job_id}"
+    with httpcore.stream("GET", url, headers={"host": "127.0.0.1"}) as response:
+        chunks = response.iter_stream()
+        received_bytes = len(next(chunks))
+        entry.process.terminate()
+        deployment.wait(
+            lambda: not entry.is_ready(), "the instance is leaving", processes=[]
+        )
+        end_seconds = time.monotonic() + 4.0
+        for chunk in chunks:
+            received_bytes += len(chunk)
+            # Reads until after the notice of the stop is over.
+            if time.monotonic() < end_seconds:
+                time.sleep(0.05)
+    length = int(dict(response.headers)[b"content-length"])
+    check.assertEqual(received_bytes, length)
