Make configuration changes truthful under lost answers, races and restored rows

Ruled out: write_surely of the table client (others rely on its rule). Change: unknown instead of a false refusal; returns revoke only take-outs known when they begin; notices are recorded by the acceptor, by others only if still pending; versions also count from the row version; heartbeats carry the data centres out; acknowledgements wait for starts; answers list what is in force, what follows by when, and what is unreachable since when; isolation as on the design page; heartbeats to other data centres have a period of their own.

--- a/kingcuptrack/coordination/attempts.py
+++ b/kingcuptrack/coordination/attempts.py
@@ -127,8 +127,13 @@
     reason = reason or run.stop_reason or _start_refusal(context, run)
     if reason:
         return await _release(context, job, run, reason, ())
-    outcomes = await calls.start(run)
-    failed_ids = _not_done(outcomes)
+    # A take-out is acknowledged only once no start decided before it is under way;
+    # one that got no answer is, until its worker has acknowledged the stop.
+    with context.configuration.starting():
+        outcomes = await calls.start(run)
+        failed_ids = _not_done(outcomes)
+        if failed_ids:
+            await calls.stop(run)
     if failed_ids:
         run.request_stop(f"not started at {', '.join(failed_ids)}")
         return await _stop(context, job, run, failed_worker_ids=failed_ids)
--- a/kingcuptrack/coordination/configuration.py
+++ b/kingcuptrack/coordination/configuration.py
@@ -1,5 +1,7 @@
 """Configuration: the newest version known, its spread, and take-out notices."""
 
+import contextlib
+import math
 import time
 import uuid
 
@@ -20,6 +22,13 @@
 # notice older than these takes the data centre out again, which is the safe side.
 NOTICES_KEPT_COUNT = 256
 
+# Concurrent changes that one change without an expected version gives way to. Of
+# the writers that race, one succeeds in every round.
+CHANGE_TRIES_COUNT = 20
+
+# Repetitions of a write whose answer was lost.
+WRITE_RETRIES_COUNT = 2
+
 
 class ConfigurationKeeper:
     """Newest configuration of this instance; its version never decreases."""
@@ -32,6 +41,9 @@
         self.current = EMPTY_CONFIGURATION
         self.notices = {}
         self.table_heard_seconds = float("-inf")
+        self._unannounced = False
+        self._old_notice_ids = frozenset()
+        self._starts = {}
 
     @property
     def is_ready(self):
@@ -39,9 +51,46 @@
         return self.current.version > 0 or self.table_heard_seconds > float("-inf")
 
     def data_centres_out(self):
-        """Return the data centres out of service, by the row or by a notice."""
+        """Return the data centres out of service.
+
+        They are out by the configuration in force, by a notice, or by the newer
+        configuration that a peer has told of and that is still to be fetched.
+        """
         notified = {notice.data_centre for notice in self.notices.values()}
-        return self.current.data_centres_out | notified
+        newest = self._newest_peer()
+        told = newest.data_centres_out if newest is not None else ()
+        return self.current.data_centres_out | notified | frozenset(told)
+
+    @contextlib.contextmanager
+    def starting(self):
+        """Hold acknowledgements back while tasks are being started.
+
+        What comes into force meanwhile was not considered by these starts, so it is
+        acknowledged only when they have ended. After an interruption they may still
+        be under way until the reservations have lapsed.
+        """
+        key = object()
+        known = (self.current.version, frozenset(self.notices))
+        self._starts[key] = (*known, math.inf)
+        try:
+            yield
+        except BaseException:
+            lapse_seconds = time.monotonic() + self._settings.lease_seconds
+            self._starts[key] = (*known, lapse_seconds)
+            raise
+        del self._starts[key]
+
+    def acknowledged(self):
+        """Return the version and the notice ids that every start here obeys."""
+        now_seconds = time.monotonic()
+        version, notice_ids = self.current.version, set(self.notices)
+        for key, (known_version, known_ids, end_seconds) in list(self._starts.items()):
+            if end_seconds <= now_seconds:
+                del self._starts[key]
+                continue
+            version = min(version, known_version)
+            notice_ids &= known_ids
+        return version, tuple(sorted(notice_ids))
 
     def is_table_silent(self):
         """Whether the table has not answered for the isolation timeout."""
@@ -49,18 +98,19 @@
         return silent_seconds >= self._settings.isolation_timeout_seconds
 
     def is_isolated(self):
-        """Whether a take-out recorded elsewhere might not have been heard of here.
+        """Whether neither the table nor any other data centre is heard from.
 
-        That is the case without the table if any other data centre is silent as
-        well: a notice accepted there may not have reached this one.
+        One other data centre suffices to hear of a take-out, since notices are
+        passed on.
         """
         if not self.is_table_silent():
             return False
         has_list = self.membership.listed_seconds > float("-inf")
+        known = self.membership.known_data_centres - {self._settings.data_centre}
         silent = self.membership.silent_data_centres(
             self._settings.isolation_timeout_seconds
         )
-        return bool(silent) or not has_list
+        return known == silent if known else not has_list
 
     def apply(self, configuration):
         """Use a configuration if it is newer; return whether it was."""
@@ -83,24 +133,38 @@
     async def run(self):
         """Poll the row and the peers until cancelled."""
         while True:
-            await self._poll_table()
-            if not self._is_newest():
-                await self._poll_peers()
-            if self.notices:
-                await self._record_notices()
+            # Replaced before polling, so that no request made meanwhile is lost.
             self._poll_now = anyio.Event()
+            await self.poll_once()
             with anyio.move_on_after(
                 self._settings.configuration_poll_interval_seconds
             ):
                 await self._poll_now.wait()
 
+    async def poll_once(self):
+        """Pass notices on, follow the row and the peers, record old notices."""
+        async with anyio.create_task_group() as task_group:
+            if self._unannounced:
+                self._unannounced = False
+                task_group.start_soon(self.membership.announce)
+            await self._poll_table()
+            if self._newest_peer() is not None:
+                await self._poll_peers()
+            # The instance that accepted a notice records it; the others do only if
+            # it is still pending later, so that they do not all write at once.
+            notice_ids = self._old_notice_ids & self.notices.keys()
+            self._old_notice_ids = frozenset(self.notices)
+            if notice_ids:
+                await self._record_notices(notice_ids)
+
     async def change(self, make_next, *, expected_version=None):
         """Record a change made by ``make_next`` from the current row.
 
         Parameters
         ----------
         make_next : callable
-            Returns the next `Configuration` for the current one.
+            Returns the next `Configuration` for the current one, the current one
+            itself if there is nothing to record, or an outcome that ends the change.
         expected_version : int, optional
             Version that the operator edited. Without it a concurrent change is
             no conflict and the change is applied to the newer row.
@@ -111,10 +175,22 @@
             Done holds the recorded `Configuration`. Refused with code
             ``conflict`` holds the newer one as detail.
         """
-        while True:
+        if self._newest_peer() is not None:
+            # The row may have been restored from a backup; a change made from it
+            # would share its version with another configuration.
+            await self._poll_peers()
+        for _ in range(CHANGE_TRIES_COUNT):
             outcome = await self._read_row()
-            if not isinstance(outcome, Done):
+            if isinstance(outcome, Done):
+                self.apply(outcome.value[1])
+            newest = self._newest_peer()
+            if not isinstance(outcome, Done) or newest is not None:
                 message = "the table cannot be read; nothing was changed"
+                if newest is not None:
+                    message = (
+                        f"{newest.instance_id} has a newer version that cannot be "
+                        "read; nothing was changed"
+                    )
                 return Refused(code="unavailable", message=message)
             row, current = outcome.value
             if expected_version not in (None, current.version):
@@ -123,20 +199,31 @@
                     message=f"version is {current.version}, not {expected_version}",
                     detail=current,
                 )
-            following = attrs.evolve(make_next(current), version=current.version + 1)
+            following = make_next(current)
+            if not isinstance(following, Configuration):
+                return following
+            if following is current:
+                return Done(value=current)
+            # Counting from the version of the row as well keeps versions unique when
+            # an older configuration was restored into the row.
+            version = max(current.version, row.version) + 1
+            following = attrs.evolve(following, version=version)
             outcome = await self._write_row(row, following)
-            is_race = isinstance(outcome, Refused) and outcome.code == "conflict"
-            if is_race and expected_version is None:
-                continue
             if isinstance(outcome, Done):
                 await self._spread()
-            elif is_race:
+            is_race = isinstance(outcome, Refused) and outcome.code == "conflict"
+            if not is_race:
+                return outcome
+            if expected_version is not None:
                 return Refused(
                     code="conflict",
                     message="another change was recorded first",
                     detail=self._parse_row(outcome.detail),
                 )
-            return outcome
+        return Refused(
+            code="unavailable",
+            message="other changes were recorded first; nothing was changed",
+        )
 
     async def set_lists(self, organisations_text, plans_text, *, expected_version):
         """Replace both lists; the data centres stay as they are.
@@ -165,49 +252,67 @@
         """Take a data centre out at once, and in the table when it answers."""
         notice = TakeOutNotice(notice_id=str(uuid.uuid4()), data_centre=data_centre)
         self._add_notice(notice)
-        await self.membership.announce()
-        outcome = await self._record_notices()
+        self._unannounced = False
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(self.membership.announce)
+            outcome = await self._record_notices({notice.notice_id})
         return notice, outcome
 
     async def bring_back(self, data_centre):
-        """Bring a data centre back; needs the table."""
+        """Bring a data centre back; needs the table.
+
+        Revokes the take-outs known when this is called. One that comes while the
+        return is being recorded wins.
+        """
+        revoked_ids = [
+            notice.notice_id
+            for notice in self.notices.values()
+            if notice.data_centre == data_centre
+        ]
+        seen_ids = {*self.current.notice_ids, *revoked_ids}
 
         def make_next(current):
-            remaining = current.data_centres_out - {data_centre}
+            if not seen_ids.issuperset(current.notice_ids):
+                return Refused(
+                    code="conflict",
+                    message="a data centre was taken out at the same time; try again",
+                    detail=current,
+                )
+            new_ids = [item for item in revoked_ids if item not in current.notice_ids]
+            if data_centre not in current.data_centres_out and not new_ids:
+                return current
             return attrs.evolve(
                 current,
-                data_centres_out=remaining,
-                notice_ids=_with_notices(current, self._notices_for(data_centre)),
+                data_centres_out=current.data_centres_out - {data_centre},
+                notice_ids=_with_notices(current, new_ids),
             )
 
         return await self.change(make_next)
 
     def check_data_centre(self, data_centre):
-        """Return findings if no instance or worker of that name is known."""
+        """Return findings if no instance or worker of that name is known.
+
+        Without the instance list no name can be ruled out.
+        """
         known = {listed.data_centre for listed in self.membership.listed.values()}
-        if data_centre in known | self.membership.known_data_centres:
+        known |= self.membership.known_data_centres | self.data_centres_out()
+        is_listed = self.membership.listed_seconds > float("-inf")
+        if data_centre in known or not is_listed:
             return []
         message = f"unknown data centre {data_centre!r}; known: {sorted(known)}"
         return [Finding(place=Place(file="request"), message=message)]
 
-    def _notices_for(self, data_centre):
-        return [
-            notice.notice_id
-            for notice in self.notices.values()
-            if notice.data_centre == data_centre
-        ]
-
     def _add_notice(self, notice):
         is_recorded = notice.notice_id in self.current.notice_ids
         if not is_recorded and notice.notice_id not in self.notices:
             self.notices[notice.notice_id] = notice
             logger.bind(data_centre=notice.data_centre).info("data centre taken out")
+            # Passed on at once: a peer may be out of reach of the sender.
+            self._unannounced = True
             self._poll_now.set()
 
-    async def _record_notices(self):
-        notices = list(self.notices.values())
-        if not notices:
-            return Done(value=self.current)
+    async def _record_notices(self, notice_ids):
+        notices = [self.notices[item] for item in notice_ids if item in self.notices]
 
         def make_next(current):
             new_notices = [
@@ -215,6 +320,8 @@
                 for notice in notices
                 if notice.notice_id not in current.notice_ids
             ]
+            if not new_notices:
+                return current
             return attrs.evolve(
                 current,
                 data_centres_out=current.data_centres_out
@@ -226,23 +333,28 @@
 
         return await self.change(make_next)
 
-    def _is_newest(self):
-        versions = [
-            info.configuration_version for info in self.membership.live_instances()
-        ]
-        return self.current.version >= max(versions, default=0)
+    def _newest_peer(self):
+        """Return the info of the live peer with the newest version, if newer."""
+        newest = max(
+            self.membership.live_instances(),
+            key=lambda info: info.configuration_version,
+            default=None,
+        )
+        if newest is None or newest.configuration_version <= self.current.version:
+            return None
+        return newest
 
     async def _poll_table(self):
         outcome = await self._read_row()
-        if isinstance(outcome, Done):
-            row, configuration = outcome.value
-            if self.apply(configuration):
-                await self._spread()
-            elif row.version and _stored_version(row) < self.current.version:
-                # The row was restored from a backup; an accepted configuration
-                # must not revert.
-                logger.warning("writing the newer configuration back to the table")
-                await self._write_row(row, self.current)
+        if not isinstance(outcome, Done):
+            return
+        row, configuration = outcome.value
+        self.apply(configuration)
+        if _stored_version(row) < self.current.version:
+            # The row was restored from a backup or lost; an accepted
+            # configuration must not revert.
+            logger.warning("writing the newer configuration back to the table")
+            await self._write_row(row, self.current)
 
     async def _poll_peers(self):
         for info in self.membership.live_instances():
@@ -279,14 +391,34 @@
         return max(configuration, self.current, key=lambda item: item.version)
 
     async def _write_row(self, row, configuration):
+        """Write a row; a write whose answer was lost is repeated.
+
+        Returns
+        -------
+        Done, Refused or Unknown
+            Unknown also if the write may have been recorded and replaced since.
+        """
         configuration = attrs.evolve(configuration, write_token=str(uuid.uuid4()))
-        outcome = await self._table.write_surely(
-            TABLE,
-            KEY,
-            json_converter.unstructure(configuration),
-            expected_version=row.version,
-            retries_count=2,
-        )
+        value = json_converter.unstructure(configuration)
+        is_answer_lost = False
+        for _ in range(WRITE_RETRIES_COUNT + 1):
+            outcome = await self._table.write(
+                TABLE, KEY, value, expected_version=row.version
+            )
+            if not isinstance(outcome, Unknown):
+                break
+            is_answer_lost = True
+        standing = outcome.detail if isinstance(outcome, Refused) else None
+        if standing is not None and is_answer_lost:
+            token = (standing.value or {}).get("write_token")
+            if token == configuration.write_token:
+                outcome = Done(value=standing.version)
+            elif standing.version > row.version + 1:
+                return Unknown(
+                    message="the change may have been recorded and replaced since"
+                )
+        if isinstance(outcome, Refused) and standing is None and is_answer_lost:
+            return Unknown(message=f"an answer was lost, then: {outcome.message}")
         if isinstance(outcome, Done):
             self.table_heard_seconds = time.monotonic()
             self.apply(configuration)
@@ -295,7 +427,7 @@
 
 
 def _stored_version(row):
-    return row.value["version"]
+    return row.value["version"] if row.value is not None else 0
 
 
 def _with_notices(current, notice_ids):
--- a/kingcuptrack/coordination/entry.py
+++ b/kingcuptrack/coordination/entry.py
@@ -8,7 +8,6 @@
 
 from ..metrics import open_metrics
 from ..protocol.messages import (
-    Acknowledged,
     GetConfiguration,
     Heartbeat,
     InstanceInfo,
@@ -175,7 +174,7 @@
             return PushConfiguration(configuration=self._configuration.current)
         if isinstance(message, PushConfiguration):
             self._configuration.apply(message.configuration)
-            return Acknowledged()
+            return self._membership.make_heartbeat()
         return await self._mailbox.call(message)
 
     def _is_ready(self):
@@ -185,6 +184,7 @@
         settings = self._settings
         default_address = f"{settings.listen_ip}:{settings.peer_port}"
         is_settled = time.monotonic() >= self._ready_seconds
+        version, notice_ids = self._configuration.acknowledged()
         return InstanceInfo(
             instance_id=settings.instance_id,
             data_centre=settings.data_centre,
@@ -192,8 +192,11 @@
             sequence=sequence,
             is_ready=self._configuration.is_ready and is_settled,
             is_leaving=self._is_leaving,
-            configuration_version=self._configuration.current.version,
-            notice_ids=tuple(self._configuration.notices),
+            configuration_version=version,
+            notice_ids=notice_ids,
+            data_centres_out=tuple(
+                sorted(self._configuration.current.data_centres_out)
+            ),
             summary=self._placer.summary,
         )
 
--- a/kingcuptrack/coordination/membership.py
+++ b/kingcuptrack/coordination/membership.py
@@ -20,10 +20,29 @@
 
 @attrs.define(kw_only=True)
 class Peer:
-    """What is known about another entry instance."""
+    """What is known about another entry instance.
+
+    ``request_seconds`` is when its last own heartbeat, not an answer, arrived.
+    """
 
     info: InstanceInfo
     heard_seconds: float
+    request_seconds: float = float("-inf")
+
+
+@attrs.frozen(kw_only=True)
+class KnownEntry:
+    """An entry instance that is listed or was heard from; ``info`` is its last word.
+
+    ``silent_seconds`` is 0 for this instance; one never heard from is silent since it
+    was first listed.
+    """
+
+    instance_id: str
+    data_centre: str
+    info: InstanceInfo | None
+    silent_seconds: float
+    is_live: bool
 
 
 class Membership:
@@ -52,6 +71,7 @@
         self.peers = {}
         self.listed = {}
         self.listed_seconds = float("-inf")
+        self._first_listed_seconds = {}
         self.known_data_centres = {settings.data_centre}
 
     @property
@@ -68,9 +88,11 @@
 
     def live_instances(self, data_centre=None):
         """Return the infos of live instances, this one included, by id."""
-        horizon = time.monotonic() - self._settings.peer_timeout_seconds
+        now_seconds = time.monotonic()
         infos = [
-            peer.info for peer in self.peers.values() if peer.heard_seconds >= horizon
+            peer.info
+            for peer in self.peers.values()
+            if now_seconds - peer.heard_seconds <= self._timeout_of(peer.info)
         ]
         infos.append(self.info)
         return sorted(
@@ -82,6 +104,44 @@
             key=lambda info: info.instance_id,
         )
 
+    def known_entries(self):
+        """Return every entry instance that is listed or was heard from, by id.
+
+        Without those that reported to be leaving and are silent since: they place
+        nothing any more.
+        """
+        now_seconds = time.monotonic()
+        live_ids = {info.instance_id for info in self.live_instances()}
+        heard = {
+            instance_id: (peer.info, now_seconds - peer.heard_seconds)
+            for instance_id, peer in self.peers.items()
+        }
+        heard[self._settings.instance_id] = (self.info, 0.0)
+        entries = [
+            KnownEntry(
+                instance_id=instance_id,
+                data_centre=info.data_centre,
+                info=info,
+                silent_seconds=silent_seconds,
+                is_live=instance_id in live_ids,
+            )
+            for instance_id, (info, silent_seconds) in heard.items()
+            if instance_id in live_ids or not info.is_leaving
+        ]
+        entries += [
+            KnownEntry(
+                instance_id=listed.instance_id,
+                data_centre=listed.data_centre,
+                info=None,
+                silent_seconds=now_seconds
+                - self._first_listed_seconds[listed.instance_id],
+                is_live=False,
+            )
+            for listed in self.listed.values()
+            if listed.kind == "entry" and listed.instance_id not in heard
+        ]
+        return sorted(entries, key=lambda entry: entry.instance_id)
+
     def placer_of(self, data_centre):
         """Return the info of the instance that places there, or None."""
         for info in self.live_instances(data_centre):
@@ -113,17 +173,22 @@
         }
         return self.known_data_centres - heard - {self._settings.data_centre}
 
-    def heard(self, heartbeat):
+    def heard(self, heartbeat, *, is_answer=False):
         """Take in a heartbeat; return the answer to it."""
         info = heartbeat.info
         if info.instance_id != self._settings.instance_id:
-            known = self.peers.get(info.instance_id)
-            if known is None or info.sequence > known.info.sequence:
-                self.peers[info.instance_id] = Peer(
-                    info=info, heard_seconds=time.monotonic()
-                )
+            now_seconds = time.monotonic()
+            peer = self.peers.get(info.instance_id)
+            if peer is None:
+                peer = Peer(info=info, heard_seconds=now_seconds)
+                self.peers[info.instance_id] = peer
+            if peer.info is info or info.sequence > peer.info.sequence:
+                peer.info = info
+                peer.heard_seconds = now_seconds
                 self.known_data_centres.add(info.data_centre)
-                self._ensure_heartbeats(info.instance_id, info.peer_address)
+                self._ensure_heartbeats(info.instance_id)
+            if not is_answer:
+                peer.request_seconds = now_seconds
         self._exchange_notices(info, heartbeat.notices)
         return self.make_heartbeat()
 
@@ -134,11 +199,12 @@
 
     async def call(self, info, message, *, timeout_seconds):
         """Send a request to the instance described by ``info``."""
-        link = self._link_to(info.instance_id, info.peer_address)
+        address = self._address_of(info.instance_id)
+        link = self._link_to(info.instance_id, address or info.peer_address)
         return await link.call(message, timeout_seconds=timeout_seconds)
 
     async def broadcast(self, message):
-        """Send a message to every live peer; answers are ignored."""
+        """Send a message that is answered with a heartbeat to every live peer."""
         async with anyio.create_task_group() as task_group:
             for info in self.live_instances():
                 if info.instance_id != self._settings.instance_id:
@@ -149,9 +215,7 @@
         async with anyio.create_task_group() as task_group:
             for info in self.live_instances():
                 if info.instance_id != self._settings.instance_id:
-                    task_group.start_soon(
-                        self._beat_once, info.instance_id, info.peer_address
-                    )
+                    task_group.start_soon(self._beat_once, info.instance_id)
 
     async def register(self, *, is_leaving):
         """Report this instance to the platform's list."""
@@ -167,7 +231,9 @@
 
     async def _send_once(self, info, message):
         timeout_seconds = self._settings.peer_call_timeout_seconds
-        await self.call(info, message, timeout_seconds=timeout_seconds)
+        outcome = await self.call(info, message, timeout_seconds=timeout_seconds)
+        if isinstance(outcome, Done) and isinstance(outcome.value, Heartbeat):
+            self.heard(outcome.value, is_answer=True)
 
     async def _poll_list(self):
         is_registered = False
@@ -186,6 +252,12 @@
     def _apply_list(self, listed_instances):
         self.listed = {listed.instance_id: listed for listed in listed_instances}
         self.listed_seconds = time.monotonic()
+        self._first_listed_seconds = {
+            instance_id: self._first_listed_seconds.get(
+                instance_id, self.listed_seconds
+            )
+            for instance_id in self.listed
+        }
         self.known_data_centres = {
             listed.data_centre
             for listed in listed_instances
@@ -193,7 +265,7 @@
         } | {self._settings.data_centre}
         for listed in listed_instances:
             if listed.kind == "entry":
-                self._ensure_heartbeats(listed.instance_id, listed.address)
+                self._ensure_heartbeats(listed.instance_id)
 
     def _forget_silent_peers(self):
         horizon = time.monotonic() - FORGET_PEER_SECONDS
@@ -204,34 +276,89 @@
                 self.peers.pop(instance_id, None)
                 self._peer_scopes.pop(instance_id).cancel()
 
-    def _ensure_heartbeats(self, instance_id, address):
+    def _ensure_heartbeats(self, instance_id):
         if instance_id in (self._settings.instance_id, *self._peer_scopes):
             return
         scope = anyio.CancelScope()
         self._peer_scopes[instance_id] = scope
-        self._task_group.start_soon(self._beat, instance_id, address, scope)
+        self._task_group.start_soon(self._beat, instance_id, scope)
 
-    async def _beat(self, instance_id, address, scope):
+    async def _beat(self, instance_id, scope):
         with scope:
             while True:
-                await self._beat_once(instance_id, address)
-                await anyio.sleep(self._settings.heartbeat_interval_seconds)
+                sent_seconds = time.monotonic()
+                interval_seconds = self._interval_of(instance_id)
+                if not self._is_answered_enough(instance_id, interval_seconds):
+                    await self._beat_once(instance_id)
+                elapsed_seconds = time.monotonic() - sent_seconds
+                await anyio.sleep(max(0.0, interval_seconds - elapsed_seconds))
         link = self._links.pop(instance_id, None)
         if link is not None:
             await link.close()
 
-    async def _beat_once(self, instance_id, address):
-        link = self._link_to(instance_id, address)
-        outcome = await link.call(
-            self.make_heartbeat(),
-            timeout_seconds=self._settings.peer_call_timeout_seconds,
+    async def _beat_once(self, instance_id):
+        address = self._address_of(instance_id)
+        if not address:
+            return
+        # Shorter than the silence that means death: after a partition, a heartbeat
+        # that was lost must not delay the next one.
+        timeout_seconds = min(
+            self._settings.peer_call_timeout_seconds,
+            self._settings.peer_timeout_seconds / 2,
+        )
+        outcome = await self._link_to(instance_id, address).call(
+            self.make_heartbeat(), timeout_seconds=timeout_seconds
         )
         if isinstance(outcome, Done):
-            self.heard(outcome.value)
+            self.heard(outcome.value, is_answer=True)
+
+    def _is_answered_enough(self, instance_id, interval_seconds):
+        """Whether a remote peer learns of this instance from answers alone.
+
+        Halves the heartbeats between data centres. The instance with the lower id
+        always sends, so that the two never wait for each other.
+        """
+        peer = self.peers.get(instance_id)
+        if peer is None or instance_id > self._settings.instance_id:
+            return False
+        silent_seconds = time.monotonic() - peer.request_seconds
+        is_remote = peer.info.data_centre != self._settings.data_centre
+        return is_remote and silent_seconds < 1.25 * interval_seconds
+
+    def _interval_of(self, instance_id):
+        known = self.listed.get(instance_id) or self.peers.get(instance_id)
+        info = known.info if isinstance(known, Peer) else known
+        if info is not None and info.data_centre != self._settings.data_centre:
+            return self._settings.remote_heartbeat_interval_seconds
+        return self._settings.heartbeat_interval_seconds
+
+    def _timeout_of(self, info):
+        """Return the silence after which a peer is treated as dead."""
+        settings = self._settings
+        if info.data_centre == settings.data_centre:
+            return settings.peer_timeout_seconds
+        longer_factor = (
+            settings.remote_heartbeat_interval_seconds
+            / settings.heartbeat_interval_seconds
+        )
+        return settings.peer_timeout_seconds * max(1.0, longer_factor)
+
+    def _address_of(self, instance_id):
+        """Return the listed address of a peer, which leads there from here.
+
+        One that is not listed yet is reached at the address that it gave itself.
+        """
+        listed = self.listed.get(instance_id)
+        if listed is not None:
+            return listed.address
+        peer = self.peers.get(instance_id)
+        return peer.info.peer_address if peer is not None else ""
 
     def _link_to(self, instance_id, address):
         link = self._links.get(instance_id)
         if link is None or link.address != address:
+            if link is not None:
+                self._task_group.start_soon(link.close)
             link = PeerLink(address=address, task_group=self._task_group)
             self._links[instance_id] = link
         return link
--- a/kingcuptrack/coordination/operators.py
+++ b/kingcuptrack/coordination/operators.py
@@ -1,13 +1,18 @@
 """Operator requests: the two lists, data centres in and out, status."""
 
-import time
+import difflib
+from datetime import UTC, datetime, timedelta
 
 import anyio
 
 from ..outcomes import Done, Refused
 from ..protocol.bodies import encode_findings
 from ..protocol.messages import DescribeDataCentre
-from ..state.plans import parse_lists
+from ..state.plans import ORGANISATIONS_FILE, PLANS_FILE, parse_lists
+
+# Bounds of the design page, told to operators for instances that can be reached.
+CONFIGURATION_BOUND_SECONDS = 5.0
+TAKE_OUT_BOUND_SECONDS = 3.0
 
 
 class Operators:
@@ -28,6 +33,14 @@
             "plans": current.plans_text,
             "data_centres_out": sorted(self._configuration.data_centres_out()),
             "in_force": self._in_force(),
+            "pending_notices": [
+                {
+                    "notice_id": notice.notice_id,
+                    "data_centre": notice.data_centre,
+                    **self._notice_in_force(notice, "not recorded yet"),
+                }
+                for notice in self._configuration.notices.values()
+            ],
         }
 
     def check_lists(self, body):
@@ -41,6 +54,8 @@
             body.organisations, body.plans, expected_version=body.expected_version
         )
         status, answer = self._change_answer(outcome)
+        if isinstance(outcome, Refused) and outcome.code == "conflict":
+            answer["difference"] = _difference(outcome.detail, body)
         return status, {**answer, "findings": encode_findings(findings)}
 
     async def take_out(self, data_centre):
@@ -53,8 +68,11 @@
         if not isinstance(outcome, Done):
             # The notice is in force wherever it was heard, recorded or not.
             status = 202
-        confirmed = self._notice_in_force(notice, data_centre)
-        return status, {**answer, "notice_id": notice.notice_id, **confirmed}
+        state = "not recorded yet"
+        if isinstance(outcome, Done):
+            state = f"recorded as version {outcome.value.version}"
+        in_force = self._notice_in_force(notice, state)
+        return status, {**answer, "notice_id": notice.notice_id, **in_force}
 
     async def bring_back(self, data_centre):
         """Bring a data centre back into service."""
@@ -84,46 +102,98 @@
 
     def _in_force(self):
         """Return the version acknowledged by every known instance."""
-        now_seconds = time.monotonic()
-        rows = []
-        for info in self._membership.live_instances():
-            rows.append(self._describe_instance(info, 0.0))
-        live_ids = {row["instance_id"] for row in rows}
-        for peer in self._membership.peers.values():
-            if peer.info.instance_id not in live_ids:
-                silent_seconds = now_seconds - peer.heard_seconds
-                rows.append(self._describe_instance(peer.info, silent_seconds))
-        return sorted(rows, key=lambda row: row["instance_id"])
-
-    def _describe_instance(self, info, silent_seconds):
-        return {
-            "instance_id": info.instance_id,
-            "data_centre": info.data_centre,
-            "version": info.configuration_version,
-            "is_leaving": info.is_leaving,
-            "silent_seconds": round(silent_seconds, 1),
-        }
+        return [
+            {
+                "instance_id": entry.instance_id,
+                "data_centre": entry.data_centre,
+                "version": entry.info.configuration_version if entry.info else 0,
+                "is_leaving": entry.info is not None and entry.info.is_leaving,
+                "silent_seconds": round(entry.silent_seconds, 1),
+            }
+            for entry in self._membership.known_entries()
+        ]
+
+    def _notice_in_force(self, notice, state):
+        """Describe where a take-out is in force, as acknowledged."""
+        current = self._configuration.current
+        is_recorded = notice.notice_id in current.notice_ids
+
+        def is_confirmed(info):
+            is_newest = is_recorded and info.configuration_version >= current.version
+            return is_newest or notice.notice_id in info.notice_ids
 
-    def _notice_in_force(self, notice, data_centre):
-        """Return whether every live instance of the data centre knows a notice."""
-        infos = self._membership.live_instances(data_centre)
-        recorded = notice.notice_id in self._configuration.current.notice_ids
-        version = self._configuration.current.version if recorded else None
+        return self._describe_force(
+            is_confirmed,
+            state,
+            bound_seconds=TAKE_OUT_BOUND_SECONDS,
+            data_centre=notice.data_centre,
+        )
+
+    def _describe_force(self, is_confirmed, state, *, bound_seconds, data_centre=None):
+        """Describe where something is in force and by when the rest follows.
+
+        Parameters
+        ----------
+        is_confirmed : callable
+            Whether the info of an instance acknowledges it.
+        state : str
+            Begin of the summary.
+        bound_seconds : float
+            Time that instances which can be reached may take.
+        data_centre : str, optional
+            Data centre that ``is_in_force`` is about; default: all.
+        """
+        groups = {"confirmed": [], "following": [], "unreachable": []}
+        for entry in self._membership.known_entries():
+            if entry.info is not None and is_confirmed(entry.info):
+                groups["confirmed"].append(entry)
+            else:
+                groups["following" if entry.is_live else "unreachable"].append(entry)
         confirmed = [
-            info.instance_id
-            for info in infos
-            if notice.notice_id in info.notice_ids
-            or (version is not None and info.configuration_version >= version)
+            entry
+            for entry in groups["confirmed"]
+            if data_centre in (None, entry.data_centre)
+        ]
+        missing = [
+            entry
+            for entry in groups["following"] + groups["unreachable"]
+            if data_centre in (None, entry.data_centre)
         ]
-        is_in_force = bool(infos) and len(confirmed) == len(infos)
-        return {"is_in_force": is_in_force, "confirmed_by": confirmed}
+        parts = [state]
+        if groups["following"]:
+            names = _data_centre_names(groups["following"])
+            parts.append(f"in force in {names} within {bound_seconds:g} s")
+        not_in_force = [_describe_unreachable(entry) for entry in groups["unreachable"]]
+        for name in sorted({entry.data_centre for entry in groups["unreachable"]}):
+            since = min(
+                item["unreachable_since"]
+                for item in not_in_force
+                if item["data_centre"] == name
+            )
+            parts.append(f"not in force in {name}, unreachable since {since}")
+        if len(parts) == 1:
+            parts.append("in force everywhere")
+        return {
+            "is_in_force": bool(confirmed) and not missing,
+            "confirmed_by": [entry.instance_id for entry in confirmed],
+            "following": [entry.instance_id for entry in groups["following"]],
+            "follow_within_seconds": bound_seconds,
+            "not_in_force": not_in_force,
+            "summary": "; ".join(parts),
+        }
 
     def _change_answer(self, outcome):
         if isinstance(outcome, Done):
+            version = outcome.value.version
             return 200, {
                 "outcome": "recorded",
-                "version": outcome.value.version,
+                "version": version,
                 "in_force": self._in_force(),
+                **self._describe_force(
+                    lambda info: info.configuration_version >= version,
+                    f"recorded as version {version}",
+                    bound_seconds=CONFIGURATION_BOUND_SECONDS,
+                ),
             }
         if isinstance(outcome, Refused):
             answer = {
@@ -138,3 +208,36 @@
             status = {"conflict": 409, "findings": 422}.get(outcome.code, 503)
             return status, answer
         return 503, {"outcome": "unknown", "reason": outcome.message}
+
+
+def _data_centre_names(entries):
+    return ", ".join(sorted({entry.data_centre for entry in entries}))
+
+
+def _describe_unreachable(entry):
+    since = datetime.now(UTC) - timedelta(seconds=entry.silent_seconds)
+    return {
+        "instance_id": entry.instance_id,
+        "data_centre": entry.data_centre,
+        "unreachable_seconds": round(entry.silent_seconds, 1),
+        "unreachable_since": since.isoformat(timespec="seconds"),
+    }
+
+
+def _difference(newer, body):
+    """Return the lines by which the lists of an operator differ from newer ones."""
+    lists = (
+        (ORGANISATIONS_FILE, newer.organisations_text, body.organisations),
+        (PLANS_FILE, newer.plans_text, body.plans),
+    )
+    return [
+        line
+        for name, newer_text, edited_text in lists
+        for line in difflib.unified_diff(
+            newer_text.splitlines(),
+            edited_text.splitlines(),
+            f"{name} (version {newer.version})",
+            f"{name} (edited)",
+            lineterm="",
+        )
+    ]
--- a/kingcuptrack/protocol/codecs.py
+++ b/kingcuptrack/protocol/codecs.py
@@ -34,7 +34,8 @@
 
 json_converter = _harden(make_json_converter())
 strict_json_converter = _harden(make_json_converter(forbid_extra_keys=True))
-cbor_converter = _harden(make_cbor_converter())
+# Heartbeats consist mostly of defaults, and are the most frequent message by far.
+cbor_converter = _harden(make_cbor_converter(omit_if_default=True))
 
 
 def structure_findings(error, *, source):
--- a/kingcuptrack/protocol/messages.py
+++ b/kingcuptrack/protocol/messages.py
@@ -20,7 +20,9 @@
     """What an entry instance tells about itself in every heartbeat.
 
     ``sequence`` orders the infos of one instance, so that a late or crossed
-    message never replaces a newer one.
+    message never replaces a newer one. ``configuration_version`` and ``notice_ids``
+    are in force for every start that the instance makes or has under way;
+    ``data_centres_out`` belongs to the newest configuration that it knows.
     """
 
     instance_id: str
@@ -31,6 +33,7 @@
     is_leaving: bool = False
     configuration_version: int = 0
     notice_ids: tuple[str, ...] = ()
+    data_centres_out: tuple[str, ...] = ()
     summary: CapacitySummary | None = None
 
 
--- a/kingcuptrack/settings.py
+++ b/kingcuptrack/settings.py
@@ -52,6 +52,13 @@
     heartbeat_interval_seconds: float = _setting(
         "peers", 1.0, minimum=0.05, maximum=10.0, help="Period of heartbeats to peers."
     )
+    remote_heartbeat_interval_seconds: float = _setting(
+        "peers",
+        1.0,
+        minimum=0.05,
+        maximum=60.0,
+        help="Period of heartbeats to peers in other data centres.",
+    )
     peer_timeout_seconds: float = _setting(
         "peers",
         2.5,
@@ -270,4 +277,8 @@
         + require_less("lease_margin_seconds", 2, "lease_seconds")
         # One lost heartbeat must not make a live peer look dead.
         + require_less("heartbeat_interval_seconds", 2, "peer_timeout_seconds")
+        # Nor must it make a data centre look isolated.
+        + require_less(
+            "remote_heartbeat_interval_seconds", 2, "isolation_timeout_seconds"
+        )
     )
--- a/kingcuptrack/transport/peers.py
+++ b/kingcuptrack/transport/peers.py
@@ -2,6 +2,7 @@
 
 import itertools
 import math
+import time
 
 import anyio
 from loguru import logger
@@ -65,6 +66,7 @@
         self._connecting = anyio.Lock()
         self._request_ids = itertools.count(1)
         self._pending = {}
+        self._received_seconds = float("-inf")
 
     async def call(self, message, *, timeout_seconds):
         """Send a request and wait for its answer.
@@ -75,17 +77,23 @@
             Refused with code ``unreachable`` if the request was not sent.
         """
         request_id = next(self._request_ids)
+        connection = None
+        sent_seconds = time.monotonic()
         send_stream, receive_stream = anyio.create_memory_object_stream(1)
         try:
             with anyio.fail_after(timeout_seconds):
                 connection = await self._connect()
                 if connection is None:
                     return Refused(code="unreachable", message=self.address)
-                self._pending[request_id] = send_stream
+                self._pending[request_id] = (connection, send_stream)
                 frame = pack_message(message, request_id=request_id, is_response=False)
                 await connection.send(frame)
                 answer = await receive_stream.receive()
         except TimeoutError:
+            if connection is not None and self._received_seconds < sent_seconds:
+                # After a partition, TCP repeats lost bytes only after a pause as
+                # long as the partition; a new connection works at once.
+                self._abandon(connection)
             return Unknown(message=f"{self.address}: no answer in time")
         except (anyio.EndOfStream, WebSocketException, OSError) as error:
             return Unknown(message=f"{self.address}: {error!r}")
@@ -102,6 +110,11 @@
         if self._connection is not None:
             await self._connection.close()
 
+    def _abandon(self, connection):
+        if self._connection is connection:
+            self._connection = None
+            self._task_group.start_soon(connection.close)
+
     async def _connect(self):
         async with self._connecting:
             if self._connection is not None:
@@ -116,19 +129,21 @@
     async def _read_answers(self, connection):
         try:
             async for frame in connection:
+                self._received_seconds = time.monotonic()
                 envelope, message = unpack_message(frame)
-                # An answer that comes after its request was given up is dropped.
-                pending = self._pending.get(envelope.request_id)
+                # An answer that comes after its request was given up, or a second
+                # one, is dropped.
+                pending = self._pending.pop(envelope.request_id, None)
                 if envelope.is_response and pending is not None:
-                    pending.send_nowait(message)
+                    pending[1].send_nowait(message)
         except (WebSocketException, OSError, ValueError) as error:
             logger.debug("peer link to {} lost: {!r}", self.address, error)
         finally:
             if self._connection is connection:
                 self._connection = None
-            for pending in list(self._pending.values()):
-                pending.close()
-            self._pending.clear()
+            for used_connection, send_stream in list(self._pending.values()):
+                if used_connection is connection:
+                    send_stream.close()
 
 
 async def serve_peers(handle, *, ip, port, task_status=anyio.TASK_STATUS_IGNORED):
