--- a/kingcuptrack/coordination/configuration.py
+++ b/kingcuptrack/coordination/configuration.py
@@ -172,7 +172,8 @@
         Returns
         -------
         Done, Refused or Unknown
-            Done holds the recorded `Configuration`. Refused with code
+            Done holds the recorded `Configuration`, the current one if the change
+            has no effect on it. Refused with code
             ``conflict`` holds the newer one as detail.
         """
         if self._newest_peer() is not None:
@@ -202,7 +203,7 @@
             following = make_next(current)
             if not isinstance(following, Configuration):
                 return following
-            if following is current:
+            if following == current:
                 return Done(value=current)
             # Counting from the version of the row as well keeps versions unique when
             # an older configuration was restored into the row.
--- a/kingcuptrack/coordination/entry.py
+++ b/kingcuptrack/coordination/entry.py
@@ -13,6 +13,7 @@
     InstanceInfo,
     PushConfiguration,
 )
+from ..state.scheduling import decide
 from ..transport.http_client import HttpClient
 from ..transport.http_server import HttpServer
 from ..transport.instances import InstanceListClient
@@ -32,17 +33,23 @@
 from .placer import Placer
 from .routing import Router
 
-WORKER_CONNECTIONS_COUNT = 256
-
 # A new instance waits this long for peers before it can become the placer, so that
 # it does not act beside a placer that it has not heard of yet.
 SETTLE_SECONDS = 1.0
 
 
 class Entry:
-    """All parts of one entry instance."""
+    """All parts of one entry instance.
+
+    Parameters
+    ----------
+    settings : Settings
+    decide : callable
+        Placement policy; measurements compare others with it.
+    """
 
-    def __init__(self, *, settings):
+    def __init__(self, *, settings, decide=decide):
+        self._decide = decide
         self._settings = settings
         self._metrics = open_metrics(settings)
         self._is_leaving = False
@@ -51,7 +58,6 @@
             connections_count=settings.platform_connections_count,
             headers={"x-data-centre": settings.data_centre},
         )
-        self._workers_client = HttpClient(connections_count=WORKER_CONNECTIONS_COUNT)
         self._build_platform_parts()
         self._build_scheduling_parts()
         self._server = HttpServer(
@@ -99,10 +105,7 @@
             job_table=self._job_table,
             mailbox=self._mailbox,
         )
-        worker_client = WorkerClient(
-            http_client=self._workers_client,
-            timeout_seconds=settings.worker_timeout_seconds,
-        )
+        worker_client = WorkerClient(timeout_seconds=settings.worker_timeout_seconds)
         context = PlacerContext(
             settings=settings,
             membership=self._membership,
@@ -113,7 +116,9 @@
             mailbox=self._mailbox,
             metrics=self._metrics,
         )
-        self._placer = Placer(context=context, move_job=self._router.move_job)
+        self._placer = Placer(
+            context=context, move_job=self._router.move_job, decide=self._decide
+        )
         self._front = Front(
             settings=settings,
             membership=self._membership,
--- a/kingcuptrack/coordination/open_jobs.py
+++ b/kingcuptrack/coordination/open_jobs.py
@@ -15,6 +15,7 @@
     ``row_version`` is 0 while the job is held in memory only; ``may_have_row`` tells
     whether a row may exist all the same. ``token`` is the newest fencing token used,
     which may exceed the attempt in the row. ``may_have_run`` covers all attempts.
+    ``is_superseded`` is set when the row turns out to belong to another attempt.
     """
 
     job_id: str
@@ -28,6 +29,7 @@
     run: GangRun | None = None
     may_have_run: bool = False
     is_cancelled: bool = False
+    is_superseded: bool = False
     answer: JobAnswer | None = None
     final_seconds: float = 0.0
     final: anyio.Event = attrs.field(factory=anyio.Event)
@@ -35,11 +37,26 @@
 
 @attrs.frozen(kw_only=True)
 class GangEnded:
-    """Event: an attempt holds no worker any more and has no outcome."""
+    """Event: an attempt holds no worker any more and has no outcome.
+
+    ``failed_worker_ids`` failed or did not answer, ``refused_worker_ids`` said no.
+    ``is_refused_here`` tells that the data centre may not start the gang now.
+    """
 
     run: GangRun
     reason: str
     failed_worker_ids: tuple[str, ...] = ()
+    refused_worker_ids: tuple[str, ...] = ()
+    is_task_failed: bool = False
+    is_refused_here: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class JobDropped:
+    """Event: the row of a job belongs to another attempt or data centre."""
+
+    job_id: str
+    reason: str
 
 
 @attrs.frozen(kw_only=True)
@@ -50,6 +67,7 @@
     answer: JobAnswer
     succeeded: bool = False
     failed_worker_ids: tuple[str, ...] = ()
+    is_task_failed: bool = False
 
 
 def make_row(job, *, phase, data_centre, run=None, reason="", results=()):
--- a/kingcuptrack/coordination/operators.py
+++ b/kingcuptrack/coordination/operators.py
@@ -4,16 +4,25 @@
 from datetime import UTC, datetime, timedelta
 
 import anyio
+import anyio.to_thread
+import attrs
 
+from ..findings import Finding, Place
+from ..ini import parse_ini
 from ..outcomes import Done, Refused
 from ..protocol.bodies import encode_findings
 from ..protocol.messages import DescribeDataCentre
+from ..state.guarantees import packing_findings
 from ..state.plans import ORGANISATIONS_FILE, PLANS_FILE, parse_lists
+from ..state.shapes import Worker
 
 # Bounds of the design page, told to operators for instances that can be reached.
 CONFIGURATION_BOUND_SECONDS = 5.0
 TAKE_OUT_BOUND_SECONDS = 3.0
 
+# States of a job in which its gang holds workers.
+HOLDING_STATUSES = ("starting", "running", "stopping")
+
 
 class Operators:
     """Handles requests of operators; every method returns status and JSON body."""
@@ -43,10 +52,19 @@
             ],
         }
 
-    def check_lists(self, body):
-        """Return all findings of two lists without recording them."""
-        _, findings = parse_lists(body.organisations, body.plans)
-        return 200, {"findings": encode_findings(findings)}
+    async def check_lists(self, body):
+        """Return all findings of two lists without recording them.
+
+        ``is_valid`` tells whether they can be recorded: guarantees beyond the
+        capacity are errors, but workers may be missing for a while only.
+        """
+        parsed, findings = parse_lists(body.organisations, body.plans)
+        if parsed is not None:
+            findings = findings + await self._capacity_findings(parsed)
+        return 200, {
+            "is_valid": parsed is not None,
+            "findings": encode_findings(findings),
+        }
 
     async def set_lists(self, body):
         """Record two lists as the next version."""
@@ -62,7 +80,7 @@
         """Take a data centre out of service."""
         findings = self._configuration.check_data_centre(data_centre)
         if findings:
-            return 404, {"findings": encode_findings(findings)}
+            return _unknown_data_centre(findings)
         notice, outcome = await self._configuration.take_out(data_centre)
         status, answer = self._change_answer(outcome)
         if not isinstance(outcome, Done):
@@ -78,28 +96,90 @@
         """Bring a data centre back into service."""
         findings = self._configuration.check_data_centre(data_centre)
         if findings:
-            return 404, {"findings": encode_findings(findings)}
+            return _unknown_data_centre(findings)
         return self._change_answer(await self._configuration.bring_back(data_centre))
 
+    async def read_status(self):
+        """Return the state of data centres, workers and organisations."""
+        names, descriptions = await self.describe()
+        out = self._configuration.data_centres_out()
+        current = self._configuration.current
+        return {
+            "version": current.version,
+            "data_centres": [
+                describe_data_centre(name, descriptions.get(name), name not in out)
+                for name in names
+            ],
+            "organisations": describe_organisations(current, descriptions.values()),
+            # The figures of organisations leave these data centres out.
+            "unanswered_data_centres": [
+                name for name in names if name not in descriptions
+            ],
+            "in_force": self._in_force(),
+        }
+
     async def describe(self):
-        """Return the state of all data centres, workers, organisations and jobs."""
-        names = sorted(self._membership.known_data_centres)
+        """Ask all placers.
+
+        Returns
+        -------
+        names : list of str
+            All data centres that an instance, a worker or a list names.
+        descriptions : dict of str to DataCentreDescription
+            Without the data centres whose placer did not answer.
+        """
+        listed = {item.data_centre for item in self._membership.listed.values()}
+        names = sorted(
+            listed
+            | self._membership.known_data_centres
+            | self._configuration.data_centres_out()
+        )
         descriptions = {}
+        timeout_seconds = self._settings.peer_call_timeout_seconds
 
         async def describe_one(name):
-            outcome = await self._router.ask_placer(
-                name,
-                DescribeDataCentre(),
-                timeout_seconds=self._settings.peer_call_timeout_seconds,
-            )
-            if isinstance(outcome, Done) and outcome.value is not None:
-                descriptions[name] = outcome.value
+            # The bound holds for the own placer too, which may be rebuilding.
+            with anyio.move_on_after(timeout_seconds):
+                outcome = await self._router.ask_placer(
+                    name, DescribeDataCentre(), timeout_seconds=timeout_seconds
+                )
+                if isinstance(outcome, Done) and outcome.value is not None:
+                    descriptions[name] = outcome.value
 
         async with anyio.create_task_group() as task_group:
             for name in names:
                 task_group.start_soon(describe_one, name)
         return names, descriptions
 
+    async def _capacity_findings(self, parsed):
+        """Check the guarantees of two lists against the workers of all placers."""
+        names, descriptions = await self.describe()
+        out = self._configuration.data_centres_out()
+        silent = [name for name in names if name not in descriptions.keys() | out]
+        if silent:
+            message = f"guarantees not checked: no answer from {', '.join(silent)}"
+            place = Place(file=PLANS_FILE)
+            return [Finding(place=place, message=message, is_warning=True)]
+        workers = [
+            Worker(
+                worker_id=worker.worker_id,
+                data_centre=name,
+                rack=worker.rack,
+                address="",
+                incarnation="",
+                capacity=worker.capacity,
+            )
+            for name, description in descriptions.items()
+            for worker in description.workers
+            if not worker.is_leaving
+        ]
+        configuration = attrs.evolve(parsed, data_centres_out=frozenset(out))
+        # Packing thousands of workers takes longer than heartbeats may wait.
+        findings = await anyio.to_thread.run_sync(
+            packing_findings, configuration, workers, names
+        )
+        return [_with_line(finding, parsed.plans_text) for finding in findings]
+
     def _in_force(self):
         """Return the version acknowledged by every known instance."""
         return [
@@ -108,7 +188,10 @@
                 "data_centre": entry.data_centre,
                 "version": entry.info.configuration_version if entry.info else 0,
                 "is_leaving": entry.info is not None and entry.info.is_leaving,
-                "silent_seconds": round(entry.silent_seconds, 1),
+                # None if it was listed by the platform and never heard from.
+                "silent_seconds": round(entry.silent_seconds, 1)
+                if entry.info
+                else None,
             }
             for entry in self._membership.known_entries()
         ]
@@ -176,6 +259,7 @@
         return {
             "is_in_force": bool(confirmed) and not missing,
             "confirmed_by": [entry.instance_id for entry in confirmed],
+            "unconfirmed": [entry.instance_id for entry in missing],
             "following": [entry.instance_id for entry in groups["following"]],
             "follow_within_seconds": bound_seconds,
             "not_in_force": not_in_force,
@@ -241,3 +325,97 @@
             lineterm="",
         )
     ]
+
+
+def describe_data_centre(name, description, is_in_service):
+    """Return one data centre as JSON; without a description nothing is known of it."""
+    is_answering = description is not None
+    body = {
+        "data_centre": name,
+        "is_in_service": is_in_service,
+        "is_answering": is_answering,
+        "placer_id": None,
+        "workers": None,
+        "jobs_count": None,
+    }
+    if is_answering:
+        body["placer_id"] = description.placer_id
+        body["workers"] = [attrs.asdict(worker) for worker in description.workers]
+        body["jobs_count"] = len(description.jobs)
+    return body
+
+
+def describe_organisations(configuration, descriptions):
+    """Return plan and use of each organisation, summed over data centres.
+
+    An organisation that is no longer listed but has jobs has an empty plan.
+    """
+    jobs = [job for description in descriptions for job in description.jobs]
+    names = set(configuration.plan_by_organisation)
+    names |= {job.organisation for job in jobs}
+    rows = []
+    for name in sorted(names):
+        own = [job for job in jobs if job.organisation == name]
+        holding = [job for job in own if job.status in HOLDING_STATUSES]
+        waiting = [job for job in own if job.status == "queued"]
+        plan_name = configuration.plan_by_organisation.get(name, "")
+        rows.append(
+            {
+                "organisation": name,
+                "plan": plan_name,
+                **_describe_plan(configuration.plans.get(plan_name)),
+                "in_use_guaranteed_accelerators_count": sum(
+                    job.accelerators_count for job in holding if job.is_guaranteed
+                ),
+                "in_use_borrowed_accelerators_count": sum(
+                    job.accelerators_count for job in holding if not job.is_guaranteed
+                ),
+                "waiting_accelerators_count": sum(
+                    job.accelerators_count for job in waiting
+                ),
+                "running_jobs_count": len(holding),
+                "waiting_jobs_count": len(waiting),
+            }
+        )
+    return rows
+
+
+def _describe_plan(plan):
+    if plan is None:
+        counts = (0, 0, 0, 0)
+    else:
+        gang_accelerators_count = (
+            plan.guaranteed_tasks_count * plan.guaranteed_shape.accelerators_count
+        )
+        counts = (
+            plan.guaranteed_gangs_count,
+            plan.guaranteed_tasks_count,
+            plan.guaranteed_gangs_count * gang_accelerators_count,
+            plan.quota_accelerators_count,
+        )
+    keys = (
+        "guaranteed_gangs_count",
+        "guaranteed_tasks_count",
+        "guaranteed_accelerators_count",
+        "quota_accelerators_count",
+    )
+    return dict(zip(keys, counts, strict=True))
+
+
+def _with_line(finding, plans_text):
+    """Return a finding about plans with the line of its key."""
+    sections, _ = parse_ini(plans_text, file=PLANS_FILE)
+    section = sections.get(finding.place.section)
+    value = section and section.values.get(finding.place.key)
+    if not value:
+        return finding
+    return attrs.evolve(finding, place=attrs.evolve(finding.place, line=value.line))
+
+
+def _unknown_data_centre(findings):
+    return 404, {
+        "outcome": "not_recorded",
+        "code": "unknown_data_centre",
+        "reason": findings[0].message,
+        "findings": encode_findings(findings),
+    }
