--- a/kingcuptrack/coordination/entry.py
+++ b/kingcuptrack/coordination/entry.py
@@ -135,6 +135,13 @@
 
     async def run(self):
         """Run until a termination signal, then stop gracefully."""
+        # Signals stay received until the end: the default action of a second one
+        # would cut off open requests.
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            await self._run_until(signals)
+        logger.info("entry instance stopped")
+
+    async def _run_until(self, signals):
         settings = self._settings
         async with anyio.create_task_group() as background:
             await background.start(self._membership.run)
@@ -147,10 +154,9 @@
                     http=f"{settings.listen_ip}:{settings.http_port}",
                     data_centre=settings.data_centre,
                 ).info("entry instance serving")
-                await _wait_for_signal()
+                await anext(signals)
                 await self._stop()
             background.cancel_scope.cancel()
-        logger.info("entry instance stopped")
 
     async def _stop(self):
         """Leave: hand the placer role over and answer every open request."""
@@ -204,9 +210,3 @@
             ),
             summary=self._placer.summary,
         )
-
-
-async def _wait_for_signal():
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            return
--- a/kingcuptrack/coordination/operators.py
+++ b/kingcuptrack/coordination/operators.py
@@ -188,10 +188,7 @@
                 "data_centre": entry.data_centre,
                 "version": entry.info.configuration_version if entry.info else 0,
                 "is_leaving": entry.info is not None and entry.info.is_leaving,
-                # None if it was listed by the platform and never heard from.
-                "silent_seconds": round(entry.silent_seconds, 1)
-                if entry.info
-                else None,
+                "silent_seconds": _silent_seconds(entry),
             }
             for entry in self._membership.known_entries()
         ]
@@ -298,6 +295,13 @@
     return ", ".join(sorted({entry.data_centre for entry in entries}))
 
 
+def _silent_seconds(entry):
+    """Return how long an instance is silent: 0 while live, None if never heard."""
+    if entry.info is None:
+        return None
+    return 0.0 if entry.is_live else round(entry.silent_seconds, 1)
+
+
 def _describe_unreachable(entry):
     since = datetime.now(UTC) - timedelta(seconds=entry.silent_seconds)
     return {
