Leave longer leases behind when the last instance of a data centre stops

Cause: all instances may be replaced at once, and leases of running tasks are shorter than a replacement takes. Ruled out: longer leases in general, which would delay every restart of a gang on a lost worker. Change: a placer that stops without a successor renews for handover_lease_seconds; a takeover waits for that long for workers that do not answer. Before: a job of 14 s that is not repeatable ended unknown; after: done with attempt 1 (tests/test_handover.py).

--- a/kingcuptrack/coordination/placer.py
+++ b/kingcuptrack/coordination/placer.py
@@ -514,9 +514,16 @@
             self._moving_job_ids.discard(job.job_id)
 
     async def _hand_over(self):
-        """Pass the waiting jobs held in memory only to the new placer."""
+        """Pass the waiting jobs held in memory only to the new placer.
+
+        Without one, running gangs get longer leases, so that an instance which is
+        started soon finds them still running.
+        """
         membership = self.context.membership
         placer = membership.placer_of(self.context.data_centre)
+        if placer is None:
+            settings = self.context.settings
+            await self.watch.extend_leases(settings.handover_lease_seconds)
         for job in self.jobs.values():
             if placer is not None and not job.row_version and job.status == "queued":
                 await membership.call(
--- a/kingcuptrack/coordination/takeover.py
+++ b/kingcuptrack/coordination/takeover.py
@@ -195,7 +195,10 @@
             safe_until_seconds=now_seconds
             + (gang_state.lease_remaining_seconds if is_current else 0.0)
             - margin_seconds,
-            lapsed_by_seconds=now_seconds + settings.lease_seconds + margin_seconds,
+            # The last instance that stopped may have left a longer lease behind.
+            lapsed_by_seconds=now_seconds
+            + max(settings.lease_seconds, settings.handover_lease_seconds)
+            + margin_seconds,
             # Only a worker that still shows the bare reservation has surely not
             # started its tasks.
             may_have_started=phase != "reserved",
--- a/kingcuptrack/coordination/watchers.py
+++ b/kingcuptrack/coordination/watchers.py
@@ -80,6 +80,21 @@
             self.observe_worker(worker)
         return worker
 
+    async def extend_leases(self, lease_seconds):
+        """Renew all leases for a longer time; workers that do not answer are left."""
+
+        async def extend(address, keys):
+            await self._context.worker_client.renew(
+                address, keys, lease_seconds=lease_seconds
+            )
+
+        async with anyio.create_task_group() as task_group:
+            for worker_id, runs in self._runs.items():
+                keys = [run.key for run in runs.values() if run.is_started]
+                if keys:
+                    address = next(iter(runs.values())).members[worker_id].address
+                    task_group.start_soon(extend, address, keys)
+
     async def _watch(self, worker_id):
         failures_count = 0
         while True:
--- a/kingcuptrack/settings.py
+++ b/kingcuptrack/settings.py
@@ -103,6 +103,13 @@
         maximum=30.0,
         help="Part of a lease never relied upon, for clock drift and delays.",
     )
+    handover_lease_seconds: float = _setting(
+        "workers",
+        30.0,
+        minimum=0.5,
+        maximum=600.0,
+        help="Length of task leases left behind by the last instance to stop.",
+    )
     renewal_interval_seconds: float = _setting(
         "workers", 3.0, minimum=0.1, maximum=100.0, help="Period of lease renewals."
     )
--- a/tests/shared.py
+++ b/tests/shared.py
@@ -22,6 +22,7 @@
     """Run a deployment with lists in force; yield an `Oracle` for it."""
     workers = {
         "lease_seconds": lease_seconds,
+        "handover_lease_seconds": lease_seconds,
         "lease_margin_seconds": MARGIN_SECONDS,
         "renewal_interval_seconds": 0.8,
         "worker_timeout_seconds": WORKER_TIMEOUT_SECONDS,
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,63 @@
+"""All instances of a data centre stop gracefully and are replaced later."""
+
+import time
+
+from .cases import apply_lists, check_answer, make_job, submit, wait_final, wait_placers
+from .deployment import start_deployment
+from .support import check, function_tests
+
+load_tests = function_tests(__name__)
+
+LEASE_SECONDS = 3.0
+WORKERS = {
+    "lease_seconds": LEASE_SECONDS,
+    "renewal_interval_seconds": 0.8,
+    "handover_lease_seconds": 30.0,
+}
+
+
+def test_running_gangs_outlive_the_stop_of_every_instance():
+    """Guards against leases that lapse before the replacements adopt the gangs."""
+    with start_deployment(
+        data_centres=("kumasi",), settings={"workers": WORKERS}
+    ) as deployment:
+        apply_lists(deployment)
+        wait_placers(deployment)
+        old = deployment.running_entries()
+        body = make_job("long", run_seconds=14.0, is_repeatable=False)
+        job_id = submit(old[0], body)[1]["job_id"]
+        wait_started(deployment, job_id)
+        for entry in old:
+            entry.process.terminate()
+        deployment.wait(
+            lambda: not any(entry.process.is_running for entry in old),
+            "both instances have ended",
+        )
+        ended_seconds = time.monotonic()
+        # Without longer leases, the gang would have been stopped by then.
+        deployment.wait(
+            lambda: time.monotonic() > ended_seconds + LEASE_SECONDS + 1.0,
+            "the usual lease is over",
+        )
+        for entry in old:
+            deployment.remove_from_list(entry)
+        replacement = deployment.start_entry("kumasi")
+        deployment.wait_ready([replacement])
+        answer = wait_final(deployment, replacement, job_id)
+        check_answer(answer, body)
+        check.assertEqual(answer["attempt"], 1)
+
+
+def wait_started(deployment, job_id):
+    """Wait until the workers report the start of both tasks."""
+    deployment.wait(
+        lambda: (
+            sum(
+                len(event["task_indices"])
+                for event in deployment.worker_journal()
+                if (event["event"], event["job_id"]) == ("task_start", job_id)
+            )
+            == 2
+        ),
+        "the gang runs",
+    )
