Keep the tightest fit of each rack while slots are packed

Ruled out: packing in slices over several decisions, because starts between slices would have no proof of the invariant. Change: while slots of one kind are placed, the fit of each rack is kept and computed again only for the rack used last. The benchmark also measures the first packing and decisions after a worker leaves or returns; tests and benchmarks share bench/workloads.py.

--- a/bench/decision.py
+++ b/bench/decision.py
@@ -9,10 +9,9 @@
 import statistics
 import time
 
-from kingcuptrack.state.jobs import JobSpec, Urgency
-from kingcuptrack.state.plans import Configuration, Plan
+import attrs
+
 from kingcuptrack.state.scheduling import (
-    QueuedJob,
     Scheduler,
     add_job,
     decide,
@@ -21,72 +20,25 @@
     set_configuration,
     set_worker,
 )
-from kingcuptrack.state.shapes import Capacity, Shape, Worker
+
+from .workloads import make_configuration, make_job, make_plan, make_worker
 
 WORKERS_COUNTS = (24, 105, 2100)
 QUEUE_LENGTHS = (10, 1000, 10_000)
 ORGANISATIONS_COUNT = 50
 REPETITIONS_COUNT = 20
-GIB = 2**30
-
-
-def make_workers(count, *, rack_size=8, accelerators_count=8):
-    """Return workers of today's size."""
-    capacity = Capacity(
-        accelerators_count=accelerators_count,
-        cores_count=32,
-        memory_bytes=64 * GIB,
-        connections_count=64,
-        slots_count=8,
-    )
-    return [
-        Worker(
-            worker_id=f"w{index:04}",
-            data_centre="kumasi",
-            rack=f"r{index // rack_size:03}",
-            address="127.0.0.1:1",
-            incarnation="1",
-            capacity=capacity,
-        )
-        for index in range(count)
-    ]
-
-
-def make_job(job_id, organisation, tasks_count, accelerators_count, **changes):
-    """Return a job whose tasks use one core for each accelerator."""
-    shape = Shape(
-        accelerators_count=accelerators_count,
-        cores_count=accelerators_count,
-        memory_bytes=accelerators_count * GIB,
-    )
-    queued_seconds = changes.pop("queued_seconds", 0.0)
-    spec = JobSpec(
-        organisation=organisation, tasks_count=tasks_count, shape=shape, **changes
-    )
-    return QueuedJob(job_id=job_id, spec=spec, queued_seconds=queued_seconds)
 
 
 def make_scheduler(workers_count, **settings):
     """Return a scheduler whose organisations are guaranteed half of all workers."""
     scheduler = Scheduler(data_centre="kumasi", queue_limit_count=100_000, **settings)
-    for worker in make_workers(workers_count):
-        set_worker(scheduler, worker)
+    for index in range(workers_count):
+        set_worker(scheduler, make_worker(index, rack_size=8))
     gangs_count = max(1, workers_count // 4 // ORGANISATIONS_COUNT)
     organisations_count = min(ORGANISATIONS_COUNT, workers_count // 4)
-    plan = Plan(
-        name="team",
-        guaranteed_gangs_count=gangs_count,
-        guaranteed_tasks_count=2,
-        guaranteed_shape=make_job("", "", 1, 8).spec.shape,
-        quota_accelerators_count=1_000_000,
-    )
+    plan = make_plan(gangs_count, 2, 8, quota=1_000_000)
     names = [f"team-{index}" for index in range(organisations_count)]
-    configuration = Configuration(
-        version=1,
-        plans={"team": plan},
-        plan_by_organisation=dict.fromkeys(names, "team"),
-    )
-    set_configuration(scheduler, configuration)
+    set_configuration(scheduler, make_configuration(**dict.fromkeys(names, plan)))
     return scheduler, names
 
 
@@ -135,10 +87,29 @@
     }
 
 
+def measure_worker_changes(scheduler):
+    """Return processor milliseconds of decisions after a worker left or came back."""
+    worker = make_worker(0, rack_size=8)
+    samples = []
+    for index in range(REPETITIONS_COUNT):
+        changed = attrs.evolve(worker, is_leaving=index % 2 == 0)
+        started = time.process_time()
+        set_worker(scheduler, changed)
+        decide(scheduler, now_seconds=3.0)
+        samples.append(1000 * (time.process_time() - started))
+    return {
+        "median_milliseconds": round(statistics.median(samples), 3),
+        "largest_milliseconds": round(max(samples), 3),
+    }
+
+
 def run_case(workers_count, queue_length):
     """Return the processor time of each kind of decision."""
     random_source = random.Random(workers_count)
     scheduler, names = make_scheduler(workers_count)
+    started = time.process_time()
+    decide(scheduler, now_seconds=0.0)
+    first_milliseconds = 1000 * (time.process_time() - started)
     fill(scheduler, names, random_source)
     # Waiting jobs that fit nowhere at present, of four sizes.
     tasks_counts = (workers_count, workers_count - 1, workers_count - 2, 20)
@@ -152,7 +123,7 @@
         add_job(scheduler, job, now_seconds=2.0)
     decide(scheduler, now_seconds=2.0)
     waiting_count = len(scheduler.queues.queue_by_job)
-    urgent = {"urgency": Urgency.URGENT}
+    urgent = {"urgent": True}
     cases = {
         "idle": lambda index: None,
         "borrowed": lambda index: make_job(f"b-{index}", names[0], 1, 1, **urgent),
@@ -167,6 +138,9 @@
     for name, make in cases.items():
         for key, value in measure(scheduler, make).items():
             result[f"{name}_{key}"] = value
+    for key, value in measure_worker_changes(scheduler).items():
+        result[f"worker_change_{key}"] = value
+    result["first_packing_milliseconds"] = round(first_milliseconds, 3)
     return result
 
 
--- a/bench/fragmentation.py
+++ b/bench/fragmentation.py
@@ -17,7 +17,6 @@
     make_random_fit,
     unfragmented_ratio,
 )
-from kingcuptrack.state.plans import Configuration, Plan
 from kingcuptrack.state.scheduling import (
     ReclaimGang,
     Scheduler,
@@ -28,7 +27,7 @@
     set_worker,
 )
 
-from .decision import make_job, make_workers
+from .workloads import make_configuration, make_job, make_plan, make_worker
 
 SEEDS = (1, 2, 3)
 WORKERS_COUNT = 24
@@ -57,21 +56,9 @@
 def run_policy(place, trace):
     """Return samples over time and waits of the gangs of whole workers."""
     scheduler = Scheduler(data_centre="kumasi", place=place, queue_limit_count=100_000)
-    for worker in make_workers(WORKERS_COUNT):
-        set_worker(scheduler, worker)
-    plan = Plan(
-        name="all",
-        guaranteed_gangs_count=0,
-        guaranteed_tasks_count=1,
-        guaranteed_shape=make_job("", "", 1, 8).spec.shape,
-        quota_accelerators_count=1_000_000,
-    )
-    set_configuration(
-        scheduler,
-        Configuration(
-            version=1, plans={"all": plan}, plan_by_organisation={"a": "all"}
-        ),
-    )
+    for index in range(WORKERS_COUNT):
+        set_worker(scheduler, make_worker(index, rack_size=8))
+    set_configuration(scheduler, make_configuration(a=make_plan(0, 1, 8)))
     run_seconds_by_job = {}
     ends = []
     ratios, largest, frees, waits = [], [], [], []
--- a/tests/policy.py
+++ b/bench/workloads.py
@@ -1,4 +1,4 @@
-"""Workers, plans and jobs for the tests of the placement policy."""
+"""Workers, plans and jobs that benchmarks and tests share."""
 
 from kingcuptrack.state.jobs import JobSpec, Urgency
 from kingcuptrack.state.plans import Configuration, Plan
--- a/kingcuptrack/state/guarantees.py
+++ b/kingcuptrack/state/guarantees.py
@@ -9,6 +9,7 @@
 """
 
 from collections import Counter
+from itertools import groupby
 
 import attrs
 
@@ -361,30 +362,63 @@
 
 def _place_slots(packing, racks, level_of, slots):
     """Place slots, largest first; return whether all found a place."""
-    is_complete = True
-    failed = set()
-    order = sorted(
-        slots, key=lambda slot: (-level_of(slot.kind), -slot.kind.accelerators_count)
-    )
-    for slot in order:
+
+    def order(slot):
         kind = slot.kind
-        worker_ids = None
-        if kind not in failed:
-            worker_ids = best_fit_by_rack(
-                racks,
-                packing.room.free,
-                kind.needs,
-                kind.tasks_count,
-                (level_of(kind),),
-            )
-        if worker_ids is None:
-            failed.add(kind)
-            is_complete = False
-        else:
+        size = kind.accelerators_count
+        return (-level_of(kind), -size, kind.tasks_count, kind.needs)
+
+    is_complete = True
+    for kind, group in groupby(sorted(slots, key=order), key=lambda slot: slot.kind):
+        place = _make_kind_placement(packing.room.free, racks, level_of(kind), kind)
+        for slot in group:
+            worker_ids = place()
+            if worker_ids is None:
+                is_complete = False
+                break
             move_slot(packing, slot, worker_ids)
     return is_complete
 
 
+def _make_kind_placement(free, racks, level, kind):
+    """Return a function that places one slot of a kind by best fit.
+
+    Slots of one kind come in numbers, so the tightest fit of each rack is kept and
+    only that of the rack used last is computed again.
+    """
+    if level == Level.DATA_CENTRE:
+        return lambda: best_fit_by_rack(
+            racks, free, kind.needs, kind.tasks_count, (level,)
+        )
+
+    def tightest(rack):
+        counts = [fit_count(free[item], kind.needs) for item in racks[rack]]
+        if level == Level.RACK:
+            counts = [sum(counts)]
+        fitting = [count for count in counts if count >= kind.tasks_count]
+        rest = sum(free[item][ACCELERATORS] for item in racks[rack])
+        return (min(fitting), rest) if fitting else None
+
+    fits = {rack: tightest(rack) for rack in racks}
+    stale = []
+
+    def place():
+        # The caller takes the footprint from the free amounts between two calls.
+        for rack in stale:
+            fits[rack] = tightest(rack)
+        stale.clear()
+        candidates = [(fit, rack) for rack, fit in fits.items() if fit is not None]
+        if not candidates:
+            return None
+        rack = min(candidates)[1]
+        stale.append(rack)
+        return best_fit_by_rack(
+            {rack: racks[rack]}, free, kind.needs, kind.tasks_count, (level,)
+        )
+
+    return place
+
+
 def _place_anew(packing, racks, level_of):
     slots = [
         slot for slots in packing.slots.values() for slot in slots if not slot.job_id
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -1,8 +1,8 @@
 """Check of guarantees against the workers."""
 
+from bench.workloads import make_configuration, make_plan, make_worker
 from kingcuptrack.state.guarantees import packing_findings
 
-from .policy import make_configuration, make_plan, make_worker
 from .support import check, function_tests
 
 load_tests = function_tests(__name__)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -3,6 +3,7 @@
 import random
 from collections import Counter
 
+from bench.workloads import make_shape, make_worker
 from kingcuptrack.state.cluster import task_needs
 from kingcuptrack.state.placement import (
     Level,
@@ -14,7 +15,6 @@
     unfragmented_ratio,
 )
 
-from .policy import make_shape, make_worker
 from .support import check, function_tests
 
 load_tests = function_tests(__name__)
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -1,5 +1,6 @@
 """Order, bounds and cancellation of the queues."""
 
+from bench.workloads import make_job
 from kingcuptrack.state.jobs import Urgency
 from kingcuptrack.state.queues import (
     BORROWED_ACCESSES,
@@ -13,7 +14,6 @@
     push_job,
 )
 
-from .policy import make_job
 from .support import check, function_tests
 
 load_tests = function_tests(__name__)
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -3,6 +3,14 @@
 import heapq
 from unittest import mock
 
+from bench.workloads import (
+    add_jobs,
+    make_configuration,
+    make_job,
+    make_plan,
+    make_scheduler,
+    make_worker,
+)
 from kingcuptrack.state.scheduling import (
     ReclaimGang,
     StartGang,
@@ -23,14 +31,6 @@
     waiting_reason,
 )
 
-from .policy import (
-    add_jobs,
-    make_configuration,
-    make_job,
-    make_plan,
-    make_scheduler,
-    make_worker,
-)
 from .support import check, function_tests
 
 load_tests = function_tests(__name__)
--- a/tests/test_scheduling_fuzz.py
+++ b/tests/test_scheduling_fuzz.py
@@ -12,6 +12,7 @@
 from hypothesis import HealthCheck, settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
+from bench.workloads import make_configuration, make_job, make_plan, make_worker
 from kingcuptrack.state.jobs import Urgency
 from kingcuptrack.state.scheduling import (
     ReclaimGang,
@@ -35,7 +36,6 @@
 )
 from kingcuptrack.state.shares import data_centre_shares
 
-from .policy import make_configuration, make_job, make_plan, make_worker
 from .support import function_tests
 
 load_tests = function_tests(__name__)
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -1,8 +1,8 @@
 """Shares of guarantees by data centre."""
 
+from bench.workloads import make_configuration, make_plan
 from kingcuptrack.state.shares import data_centre_shares
 
-from .policy import make_configuration, make_plan
 from .support import check, function_tests
 
 load_tests = function_tests(__name__)
