Name the runners-up of a placement

Cause: the log line of a placement had no runners-up, so that a choice could not be judged afterwards. Ruled out: returning a ranking from every placement function, which would make failed attempts, the common case under load, dearer. Change: a start on free capacity names what would have been chosen without the chosen racks, by one more placement for each start; reclaims name the targets that the cheapest one replaced, with victims and cost.

--- a/kingcuptrack/state/borrowed.py
+++ b/kingcuptrack/state/borrowed.py
@@ -41,7 +41,8 @@
     worker_ids = _find_free(scheduler, round_, job, needs)
     if worker_ids is not None:
         reason = f"free capacity, borrowed by organisation {spec.organisation}"
-        start_gang(scheduler, round_, job, worker_ids, False, reason)
+        others = _runners_up(scheduler, needs, worker_ids)
+        start_gang(scheduler, round_, job, worker_ids, False, reason, others)
         return True
     if is_urgent and _reclaim_for_urgent(scheduler, round_, job, needs):
         return True
@@ -111,6 +112,19 @@
     return _find_probe(scheduler, round_, job, needs)
 
 
+def _runners_up(scheduler, needs, worker_ids):
+    """Return what would have been chosen without the racks of these workers."""
+    workers = scheduler.cluster.workers
+    used = {workers[worker_id].rack for worker_id in worker_ids}
+    racks = {
+        rack: ids for rack, ids in scheduler.cluster.racks.items() if rack not in used
+    }
+    others = scheduler.place(
+        racks, scheduler.cluster.available, needs, len(worker_ids), tuple(Level)
+    )
+    return () if others is None else (",".join(sorted(set(others))[:3]),)
+
+
 def _find_probe(scheduler, round_, job, needs):
     """Return a quarantined worker due for a probe with this job, or None."""
     if job.spec.tasks_count != 1 or not job.spec.is_repeatable:
@@ -158,7 +172,8 @@
         return False
     reason = f"urgent job of organisation {spec.organisation}"
     victims = set(target.victim_ids)
-    hold_capacity(scheduler, round_, job, target.worker_ids, False, reason, victims)
+    workers, others = target.worker_ids, target.runners_up
+    hold_capacity(scheduler, round_, job, workers, False, reason, victims, others)
     return True
 
 
--- a/kingcuptrack/state/commitments.py
+++ b/kingcuptrack/state/commitments.py
@@ -44,7 +44,9 @@
     scheduler.gangs[job_id] = attrs.evolve(scheduler.gangs[job_id], is_guaranteed=False)
 
 
-def start_gang(scheduler, round_, job, worker_ids, is_guaranteed, reason):
+def start_gang(
+    scheduler, round_, job, worker_ids, is_guaranteed, reason, runners_up=()
+):
     """Decide to start a gang on these workers."""
     gang = PlacedGang(
         job=job,
@@ -68,11 +70,11 @@
                 scheduler.reservation = None
             elif job.spec.urgency == Urgency.PATIENT:
                 reservation.backfill_job_ids.add(job.job_id)
-    round_.decisions.append(StartGang(gang=gang, reason=reason))
+    round_.decisions.append(StartGang(gang=gang, reason=reason, runners_up=runners_up))
 
 
 def hold_capacity(
-    scheduler, round_, job, worker_ids, is_guaranteed, reason, victim_ids
+    scheduler, round_, job, worker_ids, is_guaranteed, reason, victim_ids, runners_up=()
 ):
     """Order the victims to stop and promise their capacity to a job."""
     for victim_id in sorted(victim_ids):
@@ -89,7 +91,11 @@
     drop_job(scheduler.queues, job.job_id)
     scheduler.unreclaimable.clear()
     scheduler.holds[job.job_id] = Hold(
-        job=job, worker_ids=worker_ids, is_guaranteed=is_guaranteed, reason=reason
+        job=job,
+        worker_ids=worker_ids,
+        is_guaranteed=is_guaranteed,
+        reason=reason,
+        runners_up=runners_up,
     )
     hold_tasks(scheduler.cluster, job.job_id, task_needs(job.spec.shape), worker_ids)
     change_use(scheduler, job.spec, planned=1)
@@ -167,6 +173,7 @@
                 hold.worker_ids,
                 hold.is_guaranteed,
                 hold.reason,
+                hold.runners_up,
             )
             continue
         for worker_id, amounts in needed.items():
--- a/kingcuptrack/state/guaranteed.py
+++ b/kingcuptrack/state/guaranteed.py
@@ -74,12 +74,11 @@
     victims = set(choice.target.victim_ids) | set(quota_victims)
     excess = quota_excess(job.spec, plan, use.now[ACCELERATORS])
     reason = f"guaranteed gang of organisation {organisation}"
+    workers, others = choice.target.worker_ids, choice.target.runners_up
     if choice.target.is_ready and not victims and excess <= 0:
-        start_gang(scheduler, round_, job, choice.target.worker_ids, True, reason)
+        start_gang(scheduler, round_, job, workers, True, reason, others)
     else:
-        hold_capacity(
-            scheduler, round_, job, choice.target.worker_ids, True, reason, victims
-        )
+        hold_capacity(scheduler, round_, job, workers, True, reason, victims, others)
     return True
 
 
--- a/kingcuptrack/state/model.py
+++ b/kingcuptrack/state/model.py
@@ -79,6 +79,7 @@
     worker_ids: tuple[str, ...]
     is_guaranteed: bool
     reason: str
+    runners_up: tuple[str, ...] = ()
 
 
 @attrs.define(kw_only=True)
--- a/kingcuptrack/state/reclaim.py
+++ b/kingcuptrack/state/reclaim.py
@@ -24,6 +24,21 @@
     victim_ids: tuple[str, ...]
     cost: float
     is_ready: bool
+    runners_up: tuple[str, ...] = ()
+
+
+def describe_target(target):
+    """Return a target in the form used for runners-up in log lines."""
+    workers = sorted(set(target.worker_ids))
+    shown = ",".join(workers[:3]) + (",..." if len(workers) > 3 else "")
+    return f"{shown}: {len(target.victim_ids)} victims, cost {target.cost:.0f}"
+
+
+def replace_target(target, best):
+    """Return a better target with the one that it replaces as runner-up."""
+    if best is None:
+        return target
+    return attrs.evolve(target, runners_up=(describe_target(best),))
 
 
 def gang_cost(spec, run_seconds):
@@ -111,7 +126,7 @@
                 bound=math.inf if best is None else best.cost,
             )
             if target is not None:
-                best = target
+                best = replace_target(target, best)
         if best is not None:
             return best
     return None
