Move an advance reservation to workers that became free

Ruled out: several reservations at once, which would take the backfill that makes a reservation cheap. Change: every 10 s the reservation is compared with the best choice by now and moves if that lacks room for fewer tasks; backfill counts as room on the reserved workers. A job that no decision has examined is no longer told that older jobs precede it when none do.

--- a/kingcuptrack/state/borrowed.py
+++ b/kingcuptrack/state/borrowed.py
@@ -12,7 +12,10 @@
 from .queues import find_job
 from .reasons import quota_reason, reservation_reason
 from .reclaim import cheapest_target
-from .reservations import make_reservation, reservation_target
+from .reservations import count_missing, make_reservation, reservation_target
+
+# Bounds the cost of looking for better workers to reserve.
+RESERVATION_REVIEW_SECONDS = 10.0
 
 
 def attempt_borrowed(scheduler, round_, job, plan):
@@ -63,14 +66,7 @@
         >= scheduler.reservation_after_seconds
     ):
         round_.attempts_left_count -= 1
-        scheduler.reservation = make_reservation(
-            scheduler.cluster,
-            job_id,
-            needs,
-            spec.tasks_count,
-            adjacency_level(scheduler, needs, spec.tasks_count),
-            whole_capacities(scheduler),
-        )
+        scheduler.reservation = _reserve(scheduler, round_, job, needs)
     if scheduler.reservation is not None and scheduler.reservation.job_id == job_id:
         scheduler.reasons[job_id] = reservation_reason(scheduler)
     return False
@@ -177,6 +173,36 @@
     return True
 
 
+def _reserve(scheduler, round_, job, needs):
+    tasks_count = job.spec.tasks_count
+    return make_reservation(
+        scheduler.cluster,
+        job.job_id,
+        needs,
+        tasks_count,
+        adjacency_level(scheduler, needs, tasks_count),
+        whole_capacities(scheduler),
+        now_seconds=round_.now_seconds,
+    )
+
+
+def _move_reservation(scheduler, round_, job, needs):
+    """Reserve other workers if they have more room than the reserved ones by now.
+
+    Otherwise a gang that runs for days on the reserved workers would keep the job
+    waiting while other workers become free.
+    """
+    reservation = scheduler.reservation
+    age_seconds = round_.now_seconds - reservation.chosen_seconds
+    if age_seconds < RESERVATION_REVIEW_SECONDS:
+        return
+    reservation.chosen_seconds = round_.now_seconds
+    other = _reserve(scheduler, round_, job, needs)
+    missing_count = count_missing(reservation, scheduler.cluster, needs)
+    if other is not None and other.missing_count < missing_count:
+        scheduler.reservation = other
+
+
 def follow_reservation(scheduler, round_):
     """Start the job of the advance reservation if only backfill is in its way."""
     reservation = scheduler.reservation
@@ -207,6 +233,7 @@
         cost_of,
     )
     if target is None:
+        _move_reservation(scheduler, round_, job, task_needs(job.spec.shape))
         return
     reason = f"advance reservation of organisation {job.spec.organisation}"
     if target.is_ready:
--- a/kingcuptrack/state/reservations.py
+++ b/kingcuptrack/state/reservations.py
@@ -17,14 +17,21 @@
 
 @attrs.define(kw_only=True)
 class Reservation:
-    """Workers by task index, and the gangs that started on them since."""
+    """Workers by task index, and the gangs that started on them since.
+
+    ``missing_count`` tasks had no room when the workers were chosen.
+    """
 
     job_id: str
     worker_ids: tuple[str, ...]
+    missing_count: int
+    chosen_seconds: float
     backfill_job_ids: set[str] = attrs.field(factory=set)
 
 
-def make_reservation(cluster, job_id, needs, tasks_count, level, capacities):
+def make_reservation(
+    cluster, job_id, needs, tasks_count, level, capacities, *, now_seconds
+):
     """Reserve the domain with the most room already; None if no domain suffices."""
     best = None
     for worker_ids in domains(cluster.racks, level):
@@ -41,7 +48,28 @@
         )
         if best is None or missing_count < best[0]:
             best = (missing_count, chosen)
-    return None if best is None else Reservation(job_id=job_id, worker_ids=best[1])
+    if best is None:
+        return None
+    return Reservation(
+        job_id=job_id,
+        worker_ids=best[1],
+        missing_count=best[0],
+        chosen_seconds=now_seconds,
+    )
+
+
+def count_missing(reservation, cluster, needs):
+    """Return the reserved tasks without room even if all backfill stopped."""
+    missing_count = 0
+    planned = cluster.planned
+    for worker_id, count in Counter(reservation.worker_ids).items():
+        left = list(planned.free[worker_id])
+        for holder_id, tasks_count in planned.holders.get(worker_id, {}).items():
+            if holder_id in reservation.backfill_job_ids:
+                for index, amount in planned.needs[holder_id]:
+                    left[index] += amount * tasks_count
+        missing_count += max(0, count - fit_count(left, needs))
+    return missing_count
 
 
 def reservation_target(reservation, cluster, needs, tasks_count, cost_of):
--- a/kingcuptrack/state/scheduling.py
+++ b/kingcuptrack/state/scheduling.py
@@ -31,7 +31,7 @@
 from .guaranteed import attempt_guaranteed
 from .guarantees import plan_kind, repack, shortfalls, unbind_slot, unused_slots
 from .jobs import Urgency
-from .limits import is_kept_by_isolation, refusal
+from .limits import access_of, is_kept_by_isolation, refusal
 from .model import (
     CapacitySummary,
     JobHistory,
@@ -359,8 +359,7 @@
     if job_id in scheduler.holds:
         return hold_reason(scheduler, scheduler.holds[job_id])
     if job_id in scheduler.delayed:
-        failures_count = scheduler.histories[job_id].failures_count
-        return f"delayed after failed attempt {failures_count}"
+        return "delayed after a failed attempt"
     reason = scheduler.reasons.get(job_id)
     if reason:
         return reason
@@ -372,6 +371,12 @@
             f"data centre {scheduler.data_centre} is isolated and the job is neither "
             "urgent nor next for guaranteed capacity"
         )
+    accesses = (access_of(scheduler, job.spec),)
+    oldest = first_jobs(
+        scheduler.queues, job.spec.organisation, job.spec.urgency, accesses, 1
+    )
+    if oldest == [job]:
+        return "not examined yet"
     return f"behind older jobs of organisation {job.spec.organisation}"
 
 
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -218,6 +218,24 @@
     check.assertEqual(run(scheduler, 204.0), (["large"], []))
 
 
+def test_reservation_moves_to_workers_that_become_free():
+    """Guards against a reservation that waits for a gang that runs for days."""
+    scheduler = make_scheduler(4, rack_size=2, design=NONE, sales=NONE)
+    add_jobs(scheduler, *(make_job(f"s{index}", "sales", 1, 8) for index in range(4)))
+    run(scheduler)
+    add_jobs(scheduler, make_job("large", "design", 2, 8))
+    run(scheduler, 200.0)
+    reserved = set(scheduler.reservation.worker_ids)
+    for job_id, gang in list(scheduler.gangs.items()):
+        if reserved.isdisjoint(gang.worker_ids):
+            end(scheduler, job_id, 201.0, succeeded=True)
+            fill = make_job(f"fill {job_id}", "sales", 1, 2, queued_seconds=0.0)
+            add_jobs(scheduler, fill)
+            run(scheduler, 201.0 + len(scheduler.gangs))
+    run(scheduler, 300.0)
+    check.assertTrue(reserved.isdisjoint(scheduler.reservation.worker_ids))
+
+
 def test_failing_worker_is_avoided_quarantined_and_probed():
     """Guards against a worker that fails everything it starts."""
     scheduler = make_scheduler(2, design=NONE)
