--- a/kingcuptrack/state/borrowed.py
+++ b/kingcuptrack/state/borrowed.py
@@ -12,7 +12,10 @@
 from .queues import find_job
 from .reasons import quota_reason, reservation_reason
 from .reclaim import cheapest_target
-from .reservations import make_reservation, reservation_target
+from .reservations import count_missing, make_reservation, reservation_target
+
+# Bounds the cost of looking for better workers to reserve.
+RESERVATION_REVIEW_SECONDS = 10.0
 
 
 def attempt_borrowed(scheduler, round_, job, plan):
@@ -41,7 +44,8 @@
     worker_ids = _find_free(scheduler, round_, job, needs)
     if worker_ids is not None:
         reason = f"free capacity, borrowed by organisation {spec.organisation}"
-        start_gang(scheduler, round_, job, worker_ids, False, reason)
+        others = _runners_up(scheduler, needs, worker_ids)
+        start_gang(scheduler, round_, job, worker_ids, False, reason, others)
         return True
     if is_urgent and _reclaim_for_urgent(scheduler, round_, job, needs):
         return True
@@ -62,14 +66,7 @@
         >= scheduler.reservation_after_seconds
     ):
         round_.attempts_left_count -= 1
-        scheduler.reservation = make_reservation(
-            scheduler.cluster,
-            job_id,
-            needs,
-            spec.tasks_count,
-            adjacency_level(scheduler, needs, spec.tasks_count),
-            whole_capacities(scheduler),
-        )
+        scheduler.reservation = _reserve(scheduler, round_, job, needs)
     if scheduler.reservation is not None and scheduler.reservation.job_id == job_id:
         scheduler.reasons[job_id] = reservation_reason(scheduler)
     return False
@@ -111,6 +108,19 @@
     return _find_probe(scheduler, round_, job, needs)
 
 
+def _runners_up(scheduler, needs, worker_ids):
+    """Return what would have been chosen without the racks of these workers."""
+    workers = scheduler.cluster.workers
+    used = {workers[worker_id].rack for worker_id in worker_ids}
+    racks = {
+        rack: ids for rack, ids in scheduler.cluster.racks.items() if rack not in used
+    }
+    others = scheduler.place(
+        racks, scheduler.cluster.available, needs, len(worker_ids), tuple(Level)
+    )
+    return () if others is None else (",".join(sorted(set(others))[:3]),)
+
+
 def _find_probe(scheduler, round_, job, needs):
     """Return a quarantined worker due for a probe with this job, or None."""
     if job.spec.tasks_count != 1 or not job.spec.is_repeatable:
@@ -158,10 +168,41 @@
         return False
     reason = f"urgent job of organisation {spec.organisation}"
     victims = set(target.victim_ids)
-    hold_capacity(scheduler, round_, job, target.worker_ids, False, reason, victims)
+    workers, others = target.worker_ids, target.runners_up
+    hold_capacity(scheduler, round_, job, workers, False, reason, victims, others)
     return True
 
 
+def _reserve(scheduler, round_, job, needs):
+    tasks_count = job.spec.tasks_count
+    return make_reservation(
+        scheduler.cluster,
+        job.job_id,
+        needs,
+        tasks_count,
+        adjacency_level(scheduler, needs, tasks_count),
+        whole_capacities(scheduler),
+        now_seconds=round_.now_seconds,
+    )
+
+
+def _move_reservation(scheduler, round_, job, needs):
+    """Reserve other workers if they have more room than the reserved ones by now.
+
+    Otherwise a gang that runs for days on the reserved workers would keep the job
+    waiting while other workers become free.
+    """
+    reservation = scheduler.reservation
+    age_seconds = round_.now_seconds - reservation.chosen_seconds
+    if age_seconds < RESERVATION_REVIEW_SECONDS:
+        return
+    reservation.chosen_seconds = round_.now_seconds
+    other = _reserve(scheduler, round_, job, needs)
+    missing_count = count_missing(reservation, scheduler.cluster, needs)
+    if other is not None and other.missing_count < missing_count:
+        scheduler.reservation = other
+
+
 def follow_reservation(scheduler, round_):
     """Start the job of the advance reservation if only backfill is in its way."""
     reservation = scheduler.reservation
@@ -192,6 +233,7 @@
         cost_of,
     )
     if target is None:
+        _move_reservation(scheduler, round_, job, task_needs(job.spec.shape))
         return
     reason = f"advance reservation of organisation {job.spec.organisation}"
     if target.is_ready:
