--- a/tests/oracle.py
+++ b/tests/oracle.py
@@ -47,10 +47,15 @@
         factory=lambda: ThreadPoolExecutor(CALLERS_COUNT)
     )
 
-    def submit(self, entry, body, *, wait_seconds=0.0, timeout_seconds=30.0):
-        """Submit a job; return its id and the answer (None: no answer)."""
+    def register(self, body):
+        """Judge a job from now on; return its id."""
         job_id = job_id_of(body)
         self.bodies.setdefault(job_id, body)
+        return job_id
+
+    def submit(self, entry, body, *, wait_seconds=0.0, timeout_seconds=30.0):
+        """Submit a job; return its id and the answer (None: no answer)."""
+        job_id = self.register(body)
         path = f"/v1/jobs?wait_seconds={wait_seconds}"
         return job_id, self._call(
             "submit", job_id, entry, "POST", path, body, timeout_seconds
--- /dev/null
+++ b/tests/test_job_fuzz.py
@@ -0,0 +1,239 @@
+"""Stateful fuzz of jobs against one running deployment, judged by the oracle.
+
+Environment variables: ``JOB_FUZZ_EXAMPLES`` and ``JOB_FUZZ_STEPS`` enlarge the run;
+``JOB_FUZZ_SEED`` draws other examples and shrinks a failing one.
+"""
+
+import contextlib
+import os
+import time
+
+import hypothesis
+from hypothesis import HealthCheck, Phase, strategies as st
+from hypothesis.stateful import (
+    Bundle,
+    RuleBasedStateMachine,
+    consumes,
+    initialize,
+    precondition,
+    rule,
+)
+
+from .oracle import Oracle
+from .shared import new_job, restore, start_judged
+
+EXAMPLES_COUNT = int(os.environ.get("JOB_FUZZ_EXAMPLES", "3"))
+STEPS_COUNT = int(os.environ.get("JOB_FUZZ_STEPS", "14"))
+SEED = os.environ.get("JOB_FUZZ_SEED")
+DATA_CENTRES = ("kumasi", "obuasi")
+SETTLE_SECONDS = 60.0
+
+# Modes with the operations that they can apply to ("" is any).
+WORKER_FAULTS = (
+    ("fail_starts", ("start",)),
+    ("corrupt_result", ("result",)),
+    ("wrong_result", ("result",)),
+    ("unstoppable", ("stop",)),
+    ("restart_empty", ("",)),
+    ("vanish", ("", "reserve", "start", "stop", "renew")),
+    ("lose_response", ("", "reserve", "start", "stop", "renew")),
+    ("late", ("", "reserve", "start", "stop", "result")),
+    ("slow", ("reserve", "start", "stop", "result")),
+)
+PLATFORM_FAULTS = ("down", "slow", "late", "lose_response")
+
+
+class JobMachine(RuleBasedStateMachine):
+    """Callers, faults, kills and replacements in any order."""
+
+    jobs = Bundle("jobs")
+    paused = Bundle("paused")
+    deployment = None
+
+    @initialize()
+    def begin(self):
+        """Start with all entries, no fault and nothing to judge."""
+        self.oracle = Oracle(
+            deployment=self.deployment, partial_limit_seconds=self.partial_limit_seconds
+        )
+        self.leaving = []
+
+    def entry(self, number):
+        """Return a running entry, which may be paused or leaving."""
+        entries = self.deployment.running_entries()
+        return entries[number % len(entries)]
+
+    @rule(
+        target=jobs,
+        number=st.integers(0, 3),
+        is_repeatable=st.booleans(),
+        urgency=st.sampled_from(("patient", "urgent")),
+        tasks_count=st.integers(1, 3),
+        run_seconds=st.sampled_from((0.05, 0.5, 2.0)),
+        result_bytes=st.sampled_from((0, 30_000)),
+        wait_seconds=st.sampled_from((0.0, 3.0)),
+        is_sent_everywhere=st.booleans(),
+    )
+    def submit(self, number, result_bytes, wait_seconds, is_sent_everywhere, **fields):
+        """Submit a job, at one entry or at all at once."""
+        body = new_job("fuzz", payload={"result_bytes": result_bytes}, **fields)
+        entries = self.deployment.running_entries()
+        if not is_sent_everywhere:
+            entries = [self.entry(number)]
+        for entry in entries:
+            self.oracle.start(
+                self.oracle.submit, entry, body, wait_seconds=wait_seconds
+            )
+        return body
+
+    @rule(
+        body=jobs,
+        number=st.integers(0, 3),
+        timeout_seconds=st.sampled_from((0.2, 30.0)),
+    )
+    def retry(self, body, number, timeout_seconds):
+        """Submit a job again; some callers hang up."""
+        self.oracle.start(
+            self.oracle.submit,
+            self.entry(number),
+            body,
+            wait_seconds=2.0,
+            timeout_seconds=timeout_seconds,
+        )
+
+    @rule(body=jobs, number=st.integers(0, 3))
+    def cancel(self, body, number):
+        """Cancel a job."""
+        job_id = self.oracle.register(body)
+        self.oracle.start(self.oracle.cancel, self.entry(number), job_id)
+
+    @rule(seconds=st.sampled_from((0.05, 0.3, 1.5)))
+    def pass_time(self, seconds):
+        """Let things happen."""
+        time.sleep(seconds)
+
+    @rule(
+        mode=st.sampled_from(PLATFORM_FAULTS),
+        service=st.sampled_from(("table", "table", "objects", "instances", "all")),
+        data_centre=st.sampled_from(("", *DATA_CENTRES)),
+        method=st.sampled_from(("", "PUT", "GET")),
+        delay_seconds=st.sampled_from((0.0, 1.0, 2.5)),
+        count=st.sampled_from((0, 1, 3)),
+    )
+    def fail_platform(self, **fields):
+        """Set a fault of table, object store or instance list."""
+        self.deployment.platform_fault(**fields)
+
+    @rule(
+        data_centre=st.sampled_from(DATA_CENTRES),
+        fault=st.sampled_from(WORKER_FAULTS).flatmap(
+            lambda fault: st.tuples(st.just(fault[0]), st.sampled_from(fault[1]))
+        ),
+        worker=st.sampled_from(("*", "worker-00", "worker-01")),
+        delay_seconds=st.sampled_from((0.0, 0.8, 2.0)),
+        count=st.sampled_from((0, 1, 3)),
+    )
+    def fail_workers(self, data_centre, fault, worker, delay_seconds, count):
+        """Set a fault of some workers."""
+        mode, operation = fault
+        self.deployment.worker_fault(
+            data_centre,
+            mode,
+            operation=operation,
+            worker_id=worker if worker == "*" else f"{data_centre}-{worker}",
+            delay_seconds=delay_seconds,
+            count=count,
+        )
+
+    @rule()
+    def clear_faults(self):
+        """Remove all faults but kills and pauses."""
+        self.deployment.clear_faults()
+
+    @rule(name=st.sampled_from(DATA_CENTRES))
+    def isolate(self, name):
+        """Cut a data centre off until faults are cleared."""
+        self.deployment.isolate(name)
+
+    @precondition(lambda self: len(self.deployment.running_entries()) > 1)
+    @rule(number=st.integers(0, 3))
+    def kill(self, number):
+        """Kill an entry."""
+        self.entry(number).process.kill()
+
+    @precondition(lambda self: len(self.deployment.running_entries()) < 4)
+    @rule(name=st.sampled_from(DATA_CENTRES))
+    def start_entry(self, name):
+        """Start a replacement, without waiting for it."""
+        self.deployment.start_entry(name)
+
+    @rule(target=paused, number=st.integers(0, 3))
+    def pause(self, number):
+        """Pause an entry."""
+        entry = self.entry(number)
+        entry.process.pause()
+        return entry
+
+    @rule(entry=consumes(paused))
+    def resume(self, entry):
+        """Let a paused entry go on."""
+        if entry.process.is_running:
+            entry.process.resume()
+
+    @precondition(lambda self: len(self.deployment.running_entries()) > 2)
+    @rule(number=st.integers(0, 3))
+    def terminate(self, number):
+        """Stop an entry gracefully."""
+        entry = self.entry(number)
+        # A second signal is a scenario of test_graceful_stop.
+        if entry not in self.leaving:
+            entry.process.terminate()
+            self.leaving.append(entry)
+
+    def teardown(self):
+        """Remove the faults, let every job end, and judge."""
+        if not hasattr(self, "oracle"):
+            return
+        for entry in self.deployment.running_entries():
+            if entry.process.is_paused:
+                entry.process.resume()
+        self.deployment.clear_faults()
+        for entry in self.leaving:
+            # Ends within its stop timeout, or is killed by the next example.
+            with contextlib.suppress(Exception):
+                entry.process.popen.wait(30.0)
+        restore(self.deployment)
+        self.oracle.settle(timeout_seconds=SETTLE_SECONDS)
+        self.oracle.check()
+
+
+class TestJobs(JobMachine.TestCase):
+    """Guards against broken promises about jobs under any mix of faults."""
+
+    settings = hypothesis.settings(
+        max_examples=EXAMPLES_COUNT,
+        stateful_step_count=STEPS_COUNT,
+        derandomize=SEED is None,
+        database=None,
+        deadline=None,
+        phases=[Phase.generate] if SEED is None else [Phase.generate, Phase.shrink],
+        suppress_health_check=list(HealthCheck),
+        print_blob=False,
+    )
+
+    @classmethod
+    def setUpClass(cls):
+        cls.stack = contextlib.ExitStack()
+        oracle = cls.stack.enter_context(
+            start_judged(data_centres=DATA_CENTRES, workers_count=8, is_proxied=True)
+        )
+        JobMachine.deployment = oracle.deployment
+        JobMachine.partial_limit_seconds = oracle.partial_limit_seconds
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.stack.close()
+
+
+if SEED is not None:
+    TestJobs.runTest = hypothesis.seed(int(SEED))(TestJobs.runTest)
