--- a/kingcuptrack/coordination/entry.py
+++ b/kingcuptrack/coordination/entry.py
@@ -8,7 +8,6 @@
 
 from ..metrics import open_metrics
 from ..protocol.messages import (
-    Acknowledged,
     GetConfiguration,
     Heartbeat,
     InstanceInfo,
@@ -136,6 +135,13 @@
 
     async def run(self):
         """Run until a termination signal, then stop gracefully."""
+        # Signals stay received until the end: the default action of a second one
+        # would cut off open requests.
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            await self._run_until(signals)
+        logger.info("entry instance stopped")
+
+    async def _run_until(self, signals):
         settings = self._settings
         async with anyio.create_task_group() as background:
             await background.start(self._membership.run)
@@ -148,10 +154,9 @@
                     http=f"{settings.listen_ip}:{settings.http_port}",
                     data_centre=settings.data_centre,
                 ).info("entry instance serving")
-                await _wait_for_signal()
+                await anext(signals)
                 await self._stop()
             background.cancel_scope.cancel()
-        logger.info("entry instance stopped")
 
     async def _stop(self):
         """Leave: hand the placer role over and answer every open request."""
@@ -180,7 +185,7 @@
             return PushConfiguration(configuration=self._configuration.current)
         if isinstance(message, PushConfiguration):
             self._configuration.apply(message.configuration)
-            return Acknowledged()
+            return self._membership.make_heartbeat()
         return await self._mailbox.call(message)
 
     def _is_ready(self):
@@ -190,6 +195,7 @@
         settings = self._settings
         default_address = f"{settings.listen_ip}:{settings.peer_port}"
         is_settled = time.monotonic() >= self._ready_seconds
+        version, notice_ids = self._configuration.acknowledged()
         return InstanceInfo(
             instance_id=settings.instance_id,
             data_centre=settings.data_centre,
@@ -197,13 +203,10 @@
             sequence=sequence,
             is_ready=self._configuration.is_ready and is_settled,
             is_leaving=self._is_leaving,
-            configuration_version=self._configuration.current.version,
-            notice_ids=tuple(self._configuration.notices),
+            configuration_version=version,
+            notice_ids=notice_ids,
+            data_centres_out=tuple(
+                sorted(self._configuration.current.data_centres_out)
+            ),
             summary=self._placer.summary,
         )
-
-
-async def _wait_for_signal():
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            return
