Tell a connection that times out from a lost answer; send gauges

Cause: the deadline of a whole request ended while connecting, which made the outcome unknown although nothing was sent; a cut link then looked like many lost answers. Change: connecting has its own, shorter timeout.

--- a/kingcuptrack/coordination/placer.py
+++ b/kingcuptrack/coordination/placer.py
@@ -42,6 +42,7 @@
 from .attempts import finish_waiting_job, not_run_phase, run_attempt
 from .descriptions import describe_data_centre
 from .gangs import GangRun, make_members
+from .gauges import send_gauges
 from .open_jobs import GangEnded, JobDropped, JobEnded, OpenJob
 from .takeover import rebuild, resolve_claimed
 from .watchers import WorkerWatch
@@ -148,6 +149,7 @@
             self._next_scan_seconds = now_seconds + SCAN_INTERVAL_SECONDS
             self._task_group.start_soon(self._scan_table)
             self._drop_old_answers(now_seconds)
+            send_gauges(self.context.metrics, self.scheduler, self.summary)
         if self.context.is_out_of_service():
             self._drain(now_seconds)
         else:
--- a/kingcuptrack/transport/http_client.py
+++ b/kingcuptrack/transport/http_client.py
@@ -8,6 +8,16 @@
 
 from ..outcomes import Done, Refused, Unknown
 
+# Part of a timeout that connecting may take. The library then reports it before the
+# whole request times out, so that a request not sent is told from a lost answer.
+CONNECT_FRACTION = 0.8
+
+NOT_SENT_ERRORS = (
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.PoolTimeout,
+)
+
 
 @attrs.frozen(kw_only=True)
 class HttpResponse:
@@ -61,9 +71,14 @@
                     url,
                     headers=self._headers,
                     content=content,
-                    extensions={"timeout": {"pool": timeout_seconds}},
+                    extensions={
+                        "timeout": {
+                            "connect": CONNECT_FRACTION * timeout_seconds,
+                            "pool": CONNECT_FRACTION * timeout_seconds,
+                        }
+                    },
                 )
-        except (httpcore.ConnectError, httpcore.PoolTimeout) as error:
+        except NOT_SENT_ERRORS as error:
             return Refused(code="unreachable", message=f"{method} {url}: {error!r}")
         except (TimeoutError, OSError, httpcore.TimeoutException) as error:
             return Unknown(message=f"{method} {url}: {error!r}")
