--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -16,9 +16,8 @@
 
 def fail(health, worker_id, job_id, now_seconds=0.0, tasks_failed=True):
     """Record one failure."""
-    return record_failure(
-        health, worker_id, job_id, now_seconds=now_seconds, tasks_failed=tasks_failed
-    )
+    values = {"now_seconds": now_seconds, "tasks_failed": tasks_failed}
+    return record_failure(health, worker_id, job_id, **values)
 
 
 def test_failures_of_different_jobs_quarantine_a_worker():
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -199,6 +199,15 @@
     check.assertEqual(run(scheduler), (["b"], []))
 
 
+def test_slot_is_placed_again_when_a_rack_could_hold_it():
+    """Guards against a slot that spans racks although one rack has enough workers."""
+    scheduler = make_scheduler(2, rack_size=3, design=make_plan(1, 3, 8))
+    set_worker(scheduler, make_worker(3, rack_size=3))
+    check.assertEqual(guarantee_shortfalls(scheduler), [])
+    set_worker(scheduler, make_worker(2, rack_size=3, is_leaving=True))
+    check.assertEqual(len(guarantee_shortfalls(scheduler)), 1)
+
+
 def test_large_gang_is_not_starved_by_backfill():
     """Guards against a large patient gang that never finds its workers free."""
     settings = {"reservation_after_seconds": 100.0}
@@ -308,9 +317,12 @@
     add_jobs(scheduler, make_job("u", "sales", 1, 8, urgent=True))
     decisions = decide(scheduler, now_seconds=0.0, is_isolated=True)
     check.assertEqual([item.gang.job.job_id for item in decisions], ["g", "u"])
-    for job_id in ("once", "p"):
+    once = {"urgent": True, "is_repeatable": False, "is_checkpointable": True}
+    add_jobs(scheduler, make_job("saved", "design", 1, 8, **once))
+    check.assertEqual(decide(scheduler, now_seconds=0.0, is_isolated=True), [])
+    for job_id in ("once", "p", "saved"):
         check.assertIn("isolated", waiting_reason(scheduler, job_id))
-    check.assertEqual(run(scheduler), (["once", "p"], []))
+    check.assertEqual(run(scheduler), (["saved", "once"], []))
 
 
 def test_adopted_gangs_keep_their_guarantee():
--- a/tests/test_scheduling_fuzz.py
+++ b/tests/test_scheduling_fuzz.py
@@ -64,11 +64,6 @@
     return (*attrs.astuple(shape), 1)
 
 
-def whole_capacity(worker):
-    """Return the amounts of an empty worker."""
-    return attrs.astuple(worker.capacity)
-
-
 def can_pack(free, rack_of, gangs):
     """Return whether all gangs fit; exhaustive search.
 
@@ -118,7 +113,7 @@
 
 def tightest_level(workers, needs, tasks_count):
     """Return the tightest level at which the gang fits the empty workers."""
-    free = {worker.worker_id: whole_capacity(worker) for worker in workers}
+    free = {worker.worker_id: attrs.astuple(worker.capacity) for worker in workers}
     rack_of = {worker.worker_id: worker.rack for worker in workers}
     for level in ("worker", "rack"):
         if any(placements(free, rack_of, level, needs, tasks_count)):
@@ -334,7 +329,7 @@
             assert tuple(self.scheduler.cluster.now.free[worker_id]) == left
 
     def left_on(self, worker, gangs):
-        left = list(whole_capacity(worker))
+        left = list(attrs.astuple(worker.capacity))
         for gang in gangs:
             count = Counter(gang.worker_ids)[worker.worker_id]
             for index, amount in enumerate(amounts_of(gang.job.spec.shape)):
@@ -397,9 +392,8 @@
 
     def reclaim_on_copy(self, organisation, plan):
         scheduler = copy.deepcopy(self.scheduler)
-        for job_id in self.waiting:
-            if job_id not in scheduler.holds:
-                remove_job(scheduler, job_id)
+        for job_id in self.waiting.keys() - scheduler.holds.keys():
+            remove_job(scheduler, job_id)
         job = make_job(
             "wanted",
             organisation,
