Answer unknown while the table cannot tell about earlier requests of a key

Cause: during an outage a retry of a job that is not repeatable and had run was told not run, since its row could not be read and no placer held it any more. Ruled out: keeping every outcome in memory, which instances lose. Change: a refusal of a caller's own key without the table is unknown, and says that this request started nothing. Before: test_outage_hides_whether_an_earlier_request fails with not_run; after: passes, and the retry finds the outcome.

--- a/kingcuptrack/coordination/front.py
+++ b/kingcuptrack/coordination/front.py
@@ -29,6 +29,9 @@
 # Pause before a placer is asked again after a takeover or a lost answer.
 ASK_AGAIN_SECONDS = 0.3
 
+# Refusals that hold for every request with this body, whenever it was sent.
+CODES_ABOUT_BODY = frozenset({"key_conflict"})
+
 STATUS_BY_CODE = {
     "unknown_organisation": 422,
     "never_fits": 422,
@@ -92,7 +95,11 @@
             return await self._submit_recorded(outcome.value, wait_seconds)
         if isinstance(outcome, Refused) and outcome.code == "conflict":
             return await self._join_existing(outcome.detail, spec, wait_seconds)
-        return await self._submit_unrecorded(row, outcome, wait_seconds)
+        reply = await self._submit_unrecorded(row, outcome, wait_seconds)
+        if reply.body.outcome == "not_run" and not is_new_key:
+            # An earlier request of this key may have run and its row be unreadable.
+            return _not_dispatched(reply.body)
+        return reply
 
     async def read(self, job_id, *, wait_seconds):
         """Answer about a job, waiting at most ``wait_seconds`` for its outcome."""
@@ -407,6 +414,18 @@
     )
 
 
+def _not_dispatched(body):
+    """Reply that this request started nothing, and that earlier ones are unknown."""
+    if body.code in CODES_ABOUT_BODY:
+        return Reply(status=STATUS_BY_CODE[body.code], body=body)
+    reason = (
+        f"not dispatched by this request: {body.reason}; whether an earlier request "
+        "with this key ran cannot be told while the table does not answer"
+    )
+    body = attrs.evolve(body, outcome="unknown", reason=reason)
+    return Reply(status=503, body=body)
+
+
 def _pending(job_id, reason, durability="memory"):
     body = JobBody(
         job_id=job_id, outcome="pending", reason=reason, durability=durability
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -36,3 +36,22 @@
         check.assertEqual(submit(second, body)[1]["outcome"], "pending")
         status, answer = submit(first, body, wait_seconds=9.0)
         check.assertEqual((status, answer["outcome"]), (200, "done"), answer)
+
+
+def test_outage_hides_whether_an_earlier_request_of_a_key_ran():
+    """Guards against "not run" about a finished job whose row cannot be read."""
+    with start_deployment(
+        data_centres=("kumasi",), workers_count=4, entries_count=1
+    ) as deployment:
+        apply_lists(deployment)
+        wait_placers(deployment)
+        (entry,) = deployment.running_entries()
+        body = make_job("once", is_repeatable=False)
+        check.assertEqual(submit(entry, body, wait_seconds=10)[1]["outcome"], "done")
+        replacement = deployment.restart(entry)
+        deployment.platform_fault("down", service="table")
+        status, answer = submit(replacement, body)
+        check.assertEqual((status, answer["outcome"]), (503, "unknown"), answer)
+        deployment.clear_faults()
+        status, answer = submit(replacement, body, wait_seconds=10)
+        check.assertEqual((status, answer["outcome"]), (200, "done"), answer)
