Make the first probe of a quarantined worker a setting; wait for the table

Cause: test_one_key took 1.6 s alone and 32 s after the tests that make workers fail: their workers were in quarantine for 30 s, close to the deadline of the test. Ruled out: the retries of final rows, whose delay of up to 10 s after an outage was real but not the cause. Change: worker_probe_delay_seconds, 2 s in these tests; final rows are written within about a second after the table answers again, and cost no writes while it is silent.

--- a/kingcuptrack/coordination/attempts.py
+++ b/kingcuptrack/coordination/attempts.py
@@ -4,6 +4,7 @@
 ends with the outcome of the job, or without one when no worker holds it any more.
 """
 
+import random
 import time
 
 import anyio
@@ -16,8 +17,11 @@
 from .gangs import gang_progress
 from .open_jobs import GangEnded, JobDropped, JobEnded, make_answer, make_row
 
+# Delays between writes of a final row. While the table is silent the poll of the
+# configuration tests it for all jobs, so an outage costs no write per job.
 RECORD_RETRY_MINIMUM_SECONDS = 0.5
-RECORD_RETRY_MAXIMUM_SECONDS = 10.0
+RECORD_RETRY_MAXIMUM_SECONDS = 4.0
+TABLE_CHECK_SECONDS = 0.5
 
 
 async def run_attempt(context, watch, job, run):
@@ -68,7 +72,10 @@
         answer, is_written = await record_final(context, job, row)
         if is_written or answer is None:
             return answer
-        await anyio.sleep(delay_seconds)
+        # Jitter spreads the writes of jobs that ended during one outage.
+        await anyio.sleep(delay_seconds * random.uniform(0.5, 1.0))
+        while context.configuration.is_table_silent():
+            await anyio.sleep(TABLE_CHECK_SECONDS * random.uniform(0.5, 1.0))
         delay_seconds = min(2 * delay_seconds, RECORD_RETRY_MAXIMUM_SECONDS)
 
 
--- a/kingcuptrack/coordination/placer.py
+++ b/kingcuptrack/coordination/placer.py
@@ -21,6 +21,7 @@
     SubmitAnswer,
     SubmitJob,
 )
+from ..state.health import Health
 from ..state.jobs import Phase, spec_digest
 from ..state.scheduling import (
     QueuedJob,
@@ -150,6 +151,7 @@
         return Scheduler(
             data_centre=settings.data_centre,
             queue_limit_count=settings.queue_limit_count,
+            health=Health(probe_delay_seconds=settings.worker_probe_delay_seconds),
         )
 
     def _advance(self):
--- a/kingcuptrack/settings.py
+++ b/kingcuptrack/settings.py
@@ -116,6 +116,13 @@
     worker_poll_interval_seconds: float = _setting(
         "workers", 10.0, minimum=0.2, maximum=300.0, help="Period of idle worker polls."
     )
+    worker_probe_delay_seconds: float = _setting(
+        "workers",
+        30.0,
+        minimum=0.1,
+        maximum=3600.0,
+        help="Time until a quarantined worker gets a first task as a probe.",
+    )
     checkpoint_timeout_seconds: float = _setting(
         "workers", 1.5, minimum=0.0, maximum=600.0, help="Bound of a checkpoint."
     )
--- a/tests/shared.py
+++ b/tests/shared.py
@@ -26,6 +26,8 @@
         "lease_margin_seconds": MARGIN_SECONDS,
         "renewal_interval_seconds": 0.8,
         "worker_timeout_seconds": WORKER_TIMEOUT_SECONDS,
+        # Workers that a test made fail serve the next one.
+        "worker_probe_delay_seconds": 2.0,
     }
     with start_deployment(settings={"workers": workers}, **options) as deployment:
         apply_lists(deployment)
