Run 6,000 steps of the fuzz test; shorten tests

The test of a required level is one assertion of the test of adjacency now (no placement at rack level, one across racks); an assertion that held for any result (workers are a subset of the workers) is gone.

--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -41,15 +41,15 @@
 
 
 def test_tightest_level_wins_for_every_policy():
-    """Guards against gangs spread wider than necessary."""
+    """Guards against gangs spread wider than necessary, or than is allowed."""
     racks, free = make_free((2, 2, 2), (8, 0, 0), (4, 4, 0))
     for policy in POLICIES:
         check.assertEqual(run(policy, racks, free, 2, 4), ("1.0", "1.0"))
-        check.assertEqual(set(run(policy, racks, free, 5, 2)) <= set(free), True)
     free["1.0"][0] = 4
     for policy in POLICIES:
         check.assertEqual(set(run(policy, racks, free, 2, 4)), {"2.0", "2.1"})
         check.assertIsNone(run(policy, racks, free, 4, 4))
+        check.assertIsNone(run(policy, racks, free, 3, 4, (Level.RACK,)))
         spread = run(policy, racks, free, 3, 4)
         check.assertEqual(Counter(spread), {"1.0": 1, "2.0": 1, "2.1": 1})
 
@@ -62,13 +62,6 @@
     check.assertEqual(run(first_fit, racks, free, 1, 2), ("0.0",))
 
 
-def test_required_level_is_not_relaxed():
-    """Guards against a guaranteed gang spread over racks."""
-    racks, free = make_free((8, 0), (8, 0))
-    check.assertIsNone(run(best_fit_by_rack, racks, free, 2, 8, (Level.RACK,)))
-    check.assertIsNotNone(run(best_fit_by_rack, racks, free, 2, 8))
-
-
 def test_natural_level():
     """Guards against adjacency that no empty data centre could offer."""
     workers = [make_worker(index) for index in range(8)]
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -59,8 +59,7 @@
         check.assertIsNotNone(drop_job(queues, f"{index:04}"))
     check.assertIsNone(drop_job(queues, "0000"))
     check.assertEqual(first_ids(queues), ["0999"])
-    queue = queues.queue_by_job["0999"]
-    check.assertLess(len(queue.heap), 20)
+    check.assertLess(len(queues.queue_by_job["0999"].heap), 20)
     push(queues, "0001", queued_seconds=5000.0)
     check.assertEqual(first_ids(queues), ["0999", "0001"])
 
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -42,11 +42,9 @@
 def run(scheduler, now_seconds=0.0):
     """Return the ids started and reclaimed by one decision."""
     decisions = decide(scheduler, now_seconds=now_seconds)
-    started = [
-        item.gang.job.job_id for item in decisions if isinstance(item, StartGang)
-    ]
+    gangs = [item.gang for item in decisions if isinstance(item, StartGang)]
     reclaimed = [item.job_id for item in decisions if isinstance(item, ReclaimGang)]
-    return started, reclaimed
+    return [gang.job.job_id for gang in gangs], reclaimed
 
 
 def end(scheduler, job_id, now_seconds=0.0, *, requeue=False, **result):
@@ -248,10 +246,8 @@
 def test_failing_worker_is_avoided_quarantined_and_probed():
     """Guards against a worker that fails everything it starts."""
     scheduler = make_scheduler(2, design=NONE)
-    for index, name in enumerate("abc"):
-        now_seconds = 20.0 * index
-        job = make_job(name, "design", 1, 8)
-        add_job(scheduler, job, now_seconds=now_seconds)
+    for name, now_seconds in (("a", 0.0), ("b", 20.0), ("c", 40.0)):
+        add_jobs(scheduler, make_job(name, "design", 1, 8), now_seconds=now_seconds)
         run(scheduler, now_seconds)
         check.assertEqual(scheduler.gangs[name].worker_ids, ("w000",))
         failed = {"failed_worker_ids": ("w000",), "tasks_failed": True}
@@ -275,9 +271,8 @@
     for index in range(3):
         check.assertEqual(failure_verdict(scheduler, "bad"), "")
         run(scheduler, 2.0 * index)
-        failed = scheduler.gangs["bad"].worker_ids
-        result = {"failed_worker_ids": failed, "tasks_failed": True}
-        end(scheduler, "bad", 2.0 * index, requeue=True, **result)
+        failed = {"failed_worker_ids": scheduler.gangs["bad"].worker_ids}
+        end(scheduler, "bad", 2.0 * index, requeue=True, tasks_failed=True, **failed)
     check.assertIn("3 healthy workers", failure_verdict(scheduler, "bad"))
 
 
--- a/tests/test_scheduling_fuzz.py
+++ b/tests/test_scheduling_fuzz.py
@@ -21,7 +21,7 @@
 
 load_tests = function_tests(__name__)
 
-STEPS_COUNT = int(os.environ.get("KINGCUPTRACK_FUZZ_STEPS_COUNT", "3000"))
+STEPS_COUNT = int(os.environ.get("KINGCUPTRACK_FUZZ_STEPS_COUNT", "6000"))
 STEPS_PER_EXAMPLE_COUNT = 60
 WORKERS = [make_worker(index, accelerators_count=4, rack_size=3) for index in range(6)]
 # Guarantees of one worker, of one rack, and of half workers.
@@ -39,21 +39,12 @@
     {"render": make_plan(1, 5, 3, quota=24), "sales": make_plan(0, 1, 4, quota=9)},
 ]
 
-# Events and how often they happen.
-EVENTS = {
-    "submit": 5,
-    "decide": 8,
-    "finish_reclaim": 4,
-    "succeed": 2,
-    "fail": 1.5,
-    "cancel": 0.5,
-    "update_worker": 0.7,
-    "lose_worker": 0.4,
-    "restore_workers": 0.7,
-    "configure": 0.3,
-    "change_data_centres": 0.2,
-    "take_over": 0.3,
-}
+# Events, each as often as it happens in a while.
+EVENTS = [
+    *["submit"] * 10 + ["decide"] * 16 + ["finish_reclaim"] * 8 + ["succeed"] * 4,
+    *["fail"] * 3 + ["cancel", "lose_worker", "configure", "change_data_centres"],
+    *["update_worker", "restore_workers"] * 2 + ["take_over"],
+]
 
 
 def amounts_of(shape):
@@ -155,8 +146,7 @@
         """
         self.events_count += 1
         source = random.Random(f"{seed} {self.events_count}")
-        (name,) = source.choices(list(EVENTS), EVENTS.values())
-        getattr(self, name)(source)
+        getattr(self, source.choice(EVENTS))(source)
 
     def submit(self, source):
         for _ in range(source.randint(1, 3)):
@@ -171,10 +161,14 @@
                 is_repeatable=source.random() < 0.7,
                 is_checkpointable=source.random() < 0.3,
             )
-            now_seconds = self.now_seconds
-            if not policy.add_job(self.scheduler, job, now_seconds=now_seconds):
+            if self.add(job) is None:
                 self.waiting[job.job_id] = job
 
+    def add(self, job, **values):
+        return policy.add_job(
+            self.scheduler, job, now_seconds=self.now_seconds, **values
+        )
+
     def decide(self, source):
         self.now_seconds += source.choice([0.1, 0.1, 1.0, 15.0, 100.0])
         is_isolated = source.random() < 0.1
@@ -199,13 +193,9 @@
             assert not self.workers[worker_id].is_leaving
             if worker_id in policy.quarantined_worker_ids(self.scheduler):
                 assert spec.tasks_count == 1 and spec.is_repeatable
-                on_worker = [
-                    other
-                    for other in self.running.values()
-                    if worker_id in other.worker_ids
-                    and other.placed_seconds == self.now_seconds
-                ]
-                assert not on_worker, "two probes at once"
+                for other in self.running.values():
+                    is_new = other.placed_seconds == self.now_seconds
+                    assert not is_new or worker_id not in other.worker_ids, "two probes"
         assert gang.is_guaranteed or spec.is_repeatable or spec.is_checkpointable
         self.running[gang.job.job_id] = gang
         plan = self.configuration.plans[spec.organisation]
@@ -257,7 +247,7 @@
         now_seconds = self.now_seconds
         policy.gang_ended(self.scheduler, job_id, now_seconds=now_seconds, **result)
         if requeue and not policy.failure_verdict(self.scheduler, job_id):
-            refused = policy.add_job(self.scheduler, gang.job, now_seconds=now_seconds)
+            refused = self.add(gang.job)
             assert refused is None, refused
             self.waiting[job_id] = gang.job
         else:
@@ -328,11 +318,8 @@
         self.reclaiming.clear()
         for gang in gangs.values():
             policy.adopt_gang(self.scheduler, gang)
-        now_seconds = self.now_seconds
         for job in self.waiting.values():
-            policy.add_job(
-                self.scheduler, job, now_seconds=now_seconds, is_requeue=True
-            )
+            self.add(job, is_requeue=True)
 
     def teardown(self):
         """Check that every job that can run does so once nothing else happens."""
