Let the leases of a gang that is being stopped lapse

Found by test_worker_that_cannot_be_stopped after it was made stricter: its job was still 'running' in attempt 1 after 30 s. Cause: the watchers went on renewing an attempt while it was being stopped, so the lease of a worker that did not acknowledge the stop never lapsed, and the stop never ended. Ruled out: the stop loop itself (its bound moved with each renewal). Renewals now leave out attempts with a stop reason.

--- a/kingcuptrack/coordination/watchers.py
+++ b/kingcuptrack/coordination/watchers.py
@@ -99,13 +99,21 @@
         failures_count = 0
         while True:
             listed = self._context.membership.listed.get(worker_id)
-            runs = dict(self._runs.get(worker_id, {}))
-            if listed is None and not runs:
+            # The lease of a gang that is being stopped has to lapse if its worker does
+            # not acknowledge the stop.
+            runs = {
+                job_id: run
+                for job_id, run in self._runs.get(worker_id, {}).items()
+                if not run.stop_reason
+            }
+            if listed is None and not self._runs.get(worker_id):
                 break
             if runs:
                 is_answered = await self._renew(worker_id, runs)
-            else:
+            elif listed is not None:
                 is_answered = await self._read_state(worker_id, listed.address)
+            else:
+                is_answered = False
             failures_count = 0 if is_answered else failures_count + 1
             if failures_count >= 2 and not self._runs.get(worker_id):
                 self._forget(worker_id)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -58,10 +58,36 @@
 def test_worker_that_cannot_be_stopped_keeps_its_attempt_alone(oracle):
     """Guards against a new attempt beside tasks that did not acknowledge a stop."""
     deployment = oracle.deployment
-    everywhere(deployment, "unstoppable")
-    everywhere(deployment, "slow", operation="start", delay_seconds=2.5, count=2)
-    submit_pair(oracle, deployment.running_entries()[0], "unstoppable", run_seconds=5.0)
-    oracle.settle()
+    entry = deployment.running_entries()[0]
+    for is_repeatable, outcome in ((True, "done"), (False, "unknown")):
+        body = new_job("unstoppable", is_repeatable=is_repeatable, run_seconds=5.0)
+        job_id, _ = oracle.submit(entry, body)
+        starts = wait_event(oracle, job_id, "task_start", count=2)
+        everywhere(deployment, "unstoppable")
+        # Breaks the gang; its other worker goes on until the lease lapses.
+        lost = starts[0]
+        deployment.worker_fault(
+            lost["data_centre"], "restart_empty", worker_id=lost["worker_id"]
+        )
+        check.assertEqual(oracle.settle([job_id])[job_id]["outcome"], outcome)
+        deployment.clear_faults()
+
+
+def test_result_of_another_job_is_not_delivered(oracle):
+    """Guards against delivering what a worker answers for another job's task."""
+    deployment = oracle.deployment
+    entry = deployment.running_entries()[0]
+    everywhere(deployment, "wrong_result", operation="result", count=12)
+    # Small tasks, so that workers hold results of several jobs at once.
+    shape = {"accelerators_count": 1, "cores_count": 1, "memory_bytes": 1000}
+    futures = [
+        oracle.start(
+            oracle.submit, entry, new_job("small", shape=shape), wait_seconds=10
+        )
+        for _ in range(12)
+    ]
+    for future in futures:
+        check.assertEqual(future.result()[1]["outcome"], "done")
 
 
 STORE_FAULTS = (
--- a/tests/test_job_fuzz.py
+++ b/tests/test_job_fuzz.py
@@ -61,6 +61,8 @@
     def entry(self, number):
         """Return a running entry, which may be paused or leaving."""
         entries = self.deployment.running_entries()
+        if not entries:
+            return self.deployment.start_entry(DATA_CENTRES[0])
         return entries[number % len(entries)]
 
     @rule(
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -168,6 +168,21 @@
     check.assertEqual(found, {"done"})
 
 
+def test_started_job_that_instances_and_workers_forgot(oracle):
+    """Guards against a second run when only the claim in the table is left."""
+    deployment = oracle.deployment
+    entry = placer(deployment, HOME)
+    job_ids = submit_both(oracle, entry, "forgotten", run_seconds=1.0)
+    for job_id in job_ids:
+        wait_event(oracle, job_id, "task_start", count=2)
+    for entry in deployment.running_entries():
+        entry.process.kill()
+    deployment.worker_fault(HOME, "restart_empty")
+    restore(deployment)
+    found = [outcome for outcome, _ in outcomes(oracle, job_ids)]
+    check.assertEqual(found, ["done", "unknown"])
+
+
 def test_placer_paused_past_a_lease(oracle):
     """Guards against effects of a placer that resumes after it was replaced."""
     deployment = oracle.deployment
