--- a/kingcuptrack/coordination/configuration.py
+++ b/kingcuptrack/coordination/configuration.py
@@ -182,16 +182,19 @@
             await self._poll_peers()
         for _ in range(CHANGE_TRIES_COUNT):
             outcome = await self._read_row()
+            if isinstance(outcome, Unknown):
+                # After a partition a kept connection may be broken for one call.
+                outcome = await self._read_row()
             if isinstance(outcome, Done):
                 self.apply(outcome.value[1])
             newest = self._newest_peer()
-            if not isinstance(outcome, Done) or newest is not None:
-                message = "the table cannot be read; nothing was changed"
-                if newest is not None:
-                    message = (
-                        f"{newest.instance_id} has a newer version that cannot be "
-                        "read; nothing was changed"
-                    )
+            reason = ""
+            if not isinstance(outcome, Done):
+                reason = f"the table cannot be read ({outcome.message})"
+            elif newest is not None:
+                reason = f"{newest.instance_id} has a newer version than the table"
+            if reason:
+                message = f"{reason}; nothing was changed"
                 return Refused(code="unavailable", message=message)
             row, current = outcome.value
             if expected_version not in (None, current.version):
--- /dev/null
+++ b/tests/control.py
@@ -0,0 +1,255 @@
+"""Load, orders of operators, and their oracle, for tests of the control side.
+
+The oracle uses the journals of the stand-ins and the answers that operators got.
+"""
+
+import contextlib
+import itertools
+import json
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import attrs
+
+from .cases import apply_lists, wait_placers
+from .deployment import start_deployment
+from .shared import new_job
+from .support import NO_ANSWER, check
+
+# Bounds of the design page.
+TAKE_OUT_BOUND_SECONDS = 3.0
+CONFIGURATION_BOUND_SECONDS = 5.0
+
+SETTINGS = {
+    "workers": {
+        "lease_seconds": 6.0,
+        "lease_margin_seconds": 0.3,
+        "renewal_interval_seconds": 1.0,
+        "drain_timeout_seconds": 2.0,
+    },
+}
+TEXTS = itertools.count()
+
+
+@attrs.frozen(kw_only=True)
+class Order:
+    """A take-out or return, when it was sent and answered, and the answer.
+
+    ``reached_seconds`` is when the data centre can be reached again, if it was cut
+    off when the order was given.
+    """
+
+    kind: str
+    name: str
+    sent_seconds: float
+    received_seconds: float
+    status: int
+    answer: dict | None
+    reached_seconds: float = 0.0
+
+
+@attrs.define(kw_only=True)
+class Control:
+    """Operators of a deployment and the orders that they gave."""
+
+    deployment: object
+    orders: list = attrs.field(factory=list)
+    threads: ThreadPoolExecutor = attrs.field(factory=lambda: ThreadPoolExecutor(32))
+
+    def order(self, kind, name, entry, *, timeout_seconds=20.0):
+        """Take a data centre ``out`` or bring it back ``in``; return the order."""
+        sent_seconds = time.monotonic()
+        try:
+            status, answer = entry.request(
+                "POST",
+                f"/v1/data-centres/{name}/{kind}",
+                timeout_seconds=timeout_seconds,
+            )
+        except NO_ANSWER:
+            status, answer = 0, None
+        order = Order(
+            kind=kind,
+            name=name,
+            sent_seconds=sent_seconds,
+            received_seconds=time.monotonic(),
+            status=status,
+            answer=answer,
+        )
+        self.orders.append(order)
+        return order
+
+    def note_reached(self, order):
+        """Note that the data centre of an order can be reached from now on."""
+        self.orders.remove(order)
+        order = attrs.evolve(order, reached_seconds=time.monotonic())
+        self.orders.append(order)
+        return order
+
+    def starts(self, name, since_seconds=0.0):
+        """Return the times of task starts in a data centre."""
+        return [
+            event["time_seconds"]
+            for event in self.deployment.worker_journal()
+            if event["event"] == "task_start"
+            and event["data_centre"] == name
+            and event["time_seconds"] >= since_seconds
+        ]
+
+    def wait_starts(self, name, since_seconds, *, timeout_seconds=5.0):
+        """Wait until tasks start in a data centre."""
+        return self.deployment.wait(
+            lambda: self.starts(name, since_seconds),
+            f"tasks start in {name}",
+            timeout_seconds=timeout_seconds,
+        )
+
+    def wait_past_bound(self, order):
+        """Wait until a start would break the bound, and a little more."""
+        end_seconds = max(order.sent_seconds, order.reached_seconds) + 3.5
+        self.deployment.wait(
+            lambda: time.monotonic() > end_seconds, "the bound is over"
+        )
+
+    def rows(self):
+        """Return the configurations written to the table, in order."""
+        return [
+            event["value"]
+            for event in self.deployment.platform_journal()
+            if (event["operation"], event["key"]) == ("PUT", "current")
+        ]
+
+    def wait_recorded(self, name, is_out, *, timeout_seconds=5.0):
+        """Wait until the row says that a data centre is out, or is in service."""
+        self.deployment.wait(
+            lambda: (name in self.rows()[-1]["data_centres_out"]) == is_out,
+            f"{name} recorded as {'out' if is_out else 'in'}",
+            timeout_seconds=timeout_seconds,
+        )
+
+    def check_takes(self):
+        """Assert that no task started where a take-out forbids it."""
+        found = []
+        for order in self.orders:
+            if order.kind == "out" and order.status in (200, 202):
+                found += self._violations(order)
+        check.assertEqual(found, [])
+
+    def _violations(self, order):
+        end_seconds = min(
+            (
+                other.sent_seconds
+                for other in self.orders
+                if (other.kind, other.name) == ("in", order.name)
+                and other.received_seconds > order.sent_seconds
+            ),
+            default=float("inf"),
+        )
+        bound_seconds = max(order.sent_seconds, order.reached_seconds)
+        limit_seconds = bound_seconds + TAKE_OUT_BOUND_SECONDS
+        if order.answer["is_in_force"]:
+            limit_seconds = min(limit_seconds, order.received_seconds)
+        for start_seconds in self.starts(order.name, limit_seconds):
+            if start_seconds < end_seconds:
+                late_seconds = start_seconds - order.sent_seconds
+                yield f"{order.name}: start {late_seconds:.2f} s after {order}"
+
+
+@contextlib.contextmanager
+def running_load(deployment, *, interval_seconds=0.1, **fields):
+    """Submit short jobs at every entry meanwhile; half of them are not repeatable.
+
+    Yields the list of (body, answer or None).
+    """
+    is_over = threading.Event()
+    sent = []
+
+    def run(entry, number):
+        while not is_over.wait(interval_seconds):
+            body = new_job(
+                "load",
+                tasks_count=1,
+                run_seconds=0.05,
+                is_repeatable=(len(sent) + number) % 2 == 0,
+                shape={
+                    "accelerators_count": 1,
+                    "cores_count": 1,
+                    "memory_bytes": 1000,
+                },
+                **fields,
+            )
+            if not entry.process.is_running:
+                return
+            try:
+                answer = entry.request("POST", "/v1/jobs", body, timeout_seconds=10.0)
+            except NO_ANSWER:
+                answer = None
+            sent.append((body, answer))
+
+    threads = [
+        threading.Thread(target=run, args=(entry, number))
+        for number, entry in enumerate(deployment.running_entries())
+    ]
+    for thread in threads:
+        thread.start()
+    try:
+        yield sent
+    finally:
+        is_over.set()
+        for thread in threads:
+            thread.join()
+
+
+@contextlib.contextmanager
+def start_control(*, settings=None, **options):
+    """Run a deployment behind the proxy with lists in force; yield its `Control`."""
+    sections = {**SETTINGS, **(settings or {})}
+    with start_deployment(
+        settings=sections, is_proxied=True, workers_count=4, **options
+    ) as deployment:
+        apply_lists(deployment)
+        wait_placers(deployment)
+        control = Control(deployment=deployment)
+        with control.threads:
+            yield control
+
+
+def entry_in(deployment, name, index=0):
+    """Return a running entry of a data centre; 0 is the placer."""
+    entries = deployment.running_entries(name)
+    return sorted(entries, key=lambda entry: entry.instance_id)[index]
+
+
+def put_lists(entry, version, *, timeout_seconds=20.0):
+    """Record lists of their own; return their text, the status and the answer."""
+    from .cases import ORGANISATIONS, PLANS
+
+    text = f"{ORGANISATIONS}# {next(TEXTS)}\n"
+    body = {"organisations": text, "plans": PLANS, "expected_version": version}
+    try:
+        status, answer = entry.request(
+            "PUT", "/v1/configuration", body, timeout_seconds=timeout_seconds
+        )
+    except NO_ANSWER:
+        status, answer = 0, None
+    return text, status, answer
+
+
+def read_version(entry):
+    """Return the version in force at an entry, and its configuration."""
+    answer = entry.request("GET", "/v1/configuration")[1]
+    return answer["version"], answer
+
+
+def write_row(deployment, value):
+    """Overwrite the configuration row, as a backup that is restored does."""
+    path = "/v1/tables/configuration/rows/current"
+    _, row = deployment.platform.request("GET", path)
+    body = {"expected_version": row["version"], "value": value}
+    status, answer = deployment.platform.request("PUT", path, body)
+    assert status == 200, (status, answer)
+
+
+def dump(value):
+    """Return JSON for messages of failed checks."""
+    return json.dumps(value, indent=1, default=str)
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -28,7 +28,6 @@
 import socket
 import struct
 import time
-from pathlib import Path
 
 import anyio
 import attrs
@@ -40,6 +39,10 @@
 CHUNK_BYTES = 65536
 QUEUED_CHUNKS_COUNT = 64
 LINE_LIMIT_BYTES = 65536
+# Constants of Linux's sock_diag interface; the offset is that of idiag_inode.
+NETLINK_SOCK_DIAG = 4
+SOCK_DIAG_BY_FAMILY = 20
+INODE_OFFSET_BYTES = 84
 BROKEN = (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
 
 
@@ -185,18 +188,9 @@
 def find_connecting_process(pids, *, client_port, listen_port):
     """Return which of some processes made a loopback connection, or None.
 
-    Reads Linux's ``/proc``: sources share one address, so that only the owner of the
-    socket tells them apart.
+    Sources share one address, so that only the owner of the socket tells them apart.
     """
-    ends = f" 0100007F:{client_port:04X} 0100007F:{listen_port:04X} ".encode()
-    # Searched without splitting it, since closed connections of all processes of the
-    # machine stay in this table for a minute.
-    table = Path("/proc/net/tcp").read_bytes()
-    position = table.find(ends)
-    if position < 0:
-        return None
-    line = table[position:].split(b"\n", 1)[0]
-    name = f"socket:[{line.split()[8].decode()}]"
+    name = f"socket:[{_socket_inode(client_port, listen_port)}]"
     for pid in pids:
         with contextlib.suppress(OSError):
             for file in os.scandir(f"/proc/{pid}/fd"):
@@ -206,6 +200,26 @@
     return None
 
 
+def _socket_inode(local_port, remote_port):
+    """Return the inode of a loopback TCP socket, or 0 if there is none.
+
+    Asks Linux's sock_diag for this one socket: /proc/net/tcp lists the closed
+    connections of the whole machine as well and takes 25 ms to read when it is busy.
+    """
+    loopback = socket.inet_aton("127.0.0.1")
+    no_cookie = 0xFFFFFFFF
+    request = struct.pack("=4BI", socket.AF_INET, socket.IPPROTO_TCP, 0, 0, no_cookie)
+    request += struct.pack("!HH4s12x4s12x", local_port, remote_port, loopback, loopback)
+    request += struct.pack("=3I", 0, no_cookie, no_cookie)
+    header = struct.pack("=IHHII", 16 + len(request), SOCK_DIAG_BY_FAMILY, 1, 1, 0)
+    with socket.socket(socket.AF_NETLINK, socket.SOCK_RAW, NETLINK_SOCK_DIAG) as link:
+        link.send(header + request)
+        answer = link.recv(4096)
+    if struct.unpack_from("=IH", answer)[1] != SOCK_DIAG_BY_FAMILY:
+        return 0
+    return struct.unpack_from("=I", answer, INODE_OFFSET_BYTES)[0]
+
+
 def _directions_of(name):
     if name == "both":
         return DIRECTIONS
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,217 @@
+"""Configuration under races and failures: in force everywhere, and never reverted."""
+
+import contextlib
+import threading
+
+import attrs
+from websockets.exceptions import ConnectionClosed
+from websockets.sync.client import connect
+
+from kingcuptrack.protocol.codecs import json_converter
+from kingcuptrack.protocol.messages import PushConfiguration
+from kingcuptrack.state.plans import Configuration
+from kingcuptrack.transport.peers import pack_message
+
+from .cases import wait_in_force
+from .control import (
+    CONFIGURATION_BOUND_SECONDS,
+    dump,
+    entry_in,
+    put_lists,
+    read_version,
+    start_control,
+    write_row,
+)
+from .support import NO_ANSWER, check, function_tests
+
+load_tests = function_tests(__name__)
+
+RACE_FAULTS = (
+    {"mode": "up"},
+    {"mode": "lose_response", "method": "PUT", "count": 1},
+    {"mode": "late", "delay_seconds": 2.0, "method": "PUT", "count": 1},
+    {"mode": "slow", "delay_seconds": 0.5},
+    {"mode": "down", "count": 3},
+)
+
+
+@attrs.define(kw_only=True)
+class Watch:
+    """Configurations that each entry showed, sampled until the end."""
+
+    deployment: object
+    seen: dict = attrs.field(factory=dict)
+    is_over: threading.Event = attrs.field(factory=threading.Event)
+
+    def run(self):
+        while not self.is_over.wait(0.05):
+            for entry in self.deployment.running_entries():
+                with contextlib.suppress(*NO_ANSWER):
+                    shown = read_version(entry)[1]
+                    if shown["version"]:
+                        content = (shown["version"], shown["organisations"])
+                        self.seen.setdefault(entry.instance_id, []).append(content)
+
+    def check(self):
+        """Assert that no version decreased or had two contents."""
+        contents = {}
+        for instance_id, shown in self.seen.items():
+            versions = [version for version, _ in shown]
+            check.assertEqual(versions, sorted(versions), instance_id)
+            for version, text in shown:
+                check.assertEqual(contents.setdefault(version, text), text, version)
+
+
+def test_configuration_is_in_force_everywhere_and_never_reverts():
+    """Guards against false answers to operators, and versions that go back."""
+    with start_control() as control:
+        watch = Watch(deployment=control.deployment)
+        thread = threading.Thread(target=watch.run)
+        thread.start()
+        try:
+            for fault in RACE_FAULTS:
+                _two_operators_edit(control, fault)
+            for scenario in (
+                _edit_during_outage,
+                _one_data_centre_without_table,
+                _older_row_is_restored,
+                _older_version_is_replayed,
+                _start_without_table,
+            ):
+                scenario(control)
+                control.deployment.clear_faults()
+        finally:
+            watch.is_over.set()
+            thread.join()
+        watch.check()
+
+
+def _settled_version(control):
+    """Return the version once it is the same everywhere."""
+
+    def same_version():
+        entries = control.deployment.running_entries()
+        versions = {read_version(entry)[0] for entry in entries}
+        return versions.pop() if len(versions) == 1 else None
+
+    return control.deployment.wait(
+        same_version, "one version", timeout_seconds=CONFIGURATION_BOUND_SECONDS
+    )
+
+
+def _two_operators_edit(control, fault):
+    """Of two edits of one version, one is recorded and the other told so."""
+    deployment = control.deployment
+    version = _settled_version(control)
+    deployment.platform_fault(service="table", **fault)
+    calls = [
+        control.threads.submit(put_lists, entry_in(deployment, name), version)
+        for name in ("kumasi", "mampong")
+    ]
+    results = [call.result() for call in calls]
+    deployment.clear_faults()
+    newest = _settled_version(control)
+    rows = control.rows()
+    recorded = {row["organisations_text"]: row["version"] for row in rows}
+    for text, status, answer in results:
+        if status == 200:
+            check.assertEqual(recorded.get(text), answer["version"], dump(answer))
+            wait_in_force(deployment, answer["version"])
+        elif answer["outcome"] == "not_recorded":
+            check.assertNotIn(text, recorded, dump(answer))
+    conflicts = [answer for _, status, answer in results if status == 409]
+    check.assertLessEqual(sum(status == 200 for _, status, _ in results), 1)
+    if fault["mode"] == "up":
+        check.assertEqual(len(conflicts), 1)
+        check.assertEqual(conflicts[0]["version"], newest)
+        check.assertTrue(conflicts[0]["difference"], conflicts)
+
+
+def _edit_during_outage(control):
+    """A refused edit leaves no trace; the next one succeeds."""
+    deployment = control.deployment
+    version = _settled_version(control)
+    deployment.platform_fault(service="table", mode="down")
+    text, status, answer = put_lists(entry_in(deployment, "kumasi"), version)
+    check.assertEqual((status, answer["outcome"]), (503, "not_recorded"), answer)
+    deployment.clear_faults()
+    entry = entry_in(deployment, "mampong")
+    answer = deployment.wait(lambda: _put_again(entry, version), "it is recorded")
+    wait_in_force(deployment, answer["version"])
+    check.assertNotIn(text, [row["organisations_text"] for row in control.rows()])
+
+
+def _put_again(entry, version):
+    """Return the answer once lists are recorded; a refusal must leave no trace."""
+    _, status, answer = put_lists(entry, version)
+    check.assertIn(status, (200, 503), answer)
+    return answer if status == 200 else None
+
+
+def _one_data_centre_without_table(control):
+    """A data centre without the table learns versions from its peers."""
+    deployment = control.deployment
+    version = _settled_version(control)
+    fault = {"service": "table", "mode": "down", "data_centre": "obuasi"}
+    deployment.platform_fault(**fault)
+    _, status, answer = put_lists(entry_in(deployment, "kumasi"), version)
+    check.assertEqual(status, 200, answer)
+    wait_in_force(deployment, answer["version"])
+
+
+def _older_row_is_restored(control):
+    """A backup restored into the table is replaced; a new instance follows."""
+    deployment = control.deployment
+    version = _settled_version(control)
+    for old_row in (control.rows()[0], None):
+        if old_row is None:
+            path = "/v1/tables/configuration/rows/current"
+            deployment.platform.request("DELETE", path)
+        else:
+            write_row(deployment, old_row)
+        deployment.wait(
+            lambda: control.rows()[-1]["version"] == version,
+            "the newer version is written back",
+            timeout_seconds=CONFIGURATION_BOUND_SECONDS,
+        )
+    _, status, answer = put_lists(entry_in(deployment, "obuasi"), version)
+    check.assertEqual(status, 200, answer)
+    check.assertGreater(answer["version"], version)
+    wait_in_force(deployment, answer["version"])
+
+
+def _older_version_is_replayed(control):
+    """An older configuration from a peer is not applied."""
+    deployment = control.deployment
+    version = _settled_version(control)
+    old = json_converter.structure(control.rows()[0], Configuration)
+    message = PushConfiguration(configuration=old)
+    for entry in deployment.running_entries():
+        with connect(f"ws://127.0.0.1:{entry.peer_port}") as link:
+            link.send(pack_message(message, request_id=1, is_response=False))
+            with contextlib.suppress(ConnectionClosed, TimeoutError):
+                link.recv(timeout=2.0)
+        check.assertEqual(read_version(entry)[0], version)
+
+
+def _start_without_table(control):
+    """A new instance needs the table or a peer before it is ready."""
+    deployment = control.deployment
+    version = _settled_version(control)
+    deployment.platform_fault(service="table", mode="down")
+    entry = deployment.start_entry("obuasi")
+    deployment.wait_ready([entry])
+    wait_in_force(deployment, version)
+    deployment.platform_fault(service="all", mode="down")
+    lonely = deployment.start_entry("kumasi")
+    deployment.wait(lambda: lonely.request("GET", "/health")[0] == 503, "it answers")
+    watched = deployment.wait(
+        lambda: lonely.request("GET", "/v1/configuration")[1], "it answers"
+    )
+    check.assertEqual(watched["version"], 0)
+    check.assertFalse(lonely.is_ready())
+    status, answer = put_lists(lonely, 0)[1:]
+    check.assertEqual((status, answer["outcome"]), (503, "not_recorded"), answer)
+    deployment.clear_faults()
+    deployment.wait_ready([lonely])
+    wait_in_force(deployment, version)
--- /dev/null
+++ b/tests/test_data_centre_out.py
@@ -0,0 +1,192 @@
+"""Data centres taken out of service and returned, under failures of the platform."""
+
+import functools
+
+from .cases import wait_final
+from .control import entry_in, running_load, start_control
+from .shared import new_job, restore
+from .support import check, function_tests
+
+load_tests = function_tests(__name__)
+
+# Fault of the table while obuasi is taken out, and whether the answer says recorded.
+TABLE_FAULTS = (
+    ({"mode": "up"}, True),
+    ({"mode": "down"}, False),
+    ({"mode": "down", "data_centre": "obuasi"}, False),
+    ({"mode": "slow", "delay_seconds": 1.0}, True),
+    ({"mode": "lose_response", "method": "PUT", "count": 2}, True),
+    ({"mode": "late", "delay_seconds": 2.0, "method": "PUT"}, None),
+)
+
+
+def test_data_centre_leaves_and_returns_under_failures():
+    """Guards against starts in a data centre that is out, and lost take-outs."""
+    with start_control() as control:
+        for number, (fault, is_recorded) in enumerate(TABLE_FAULTS):
+            with running_load(control.deployment):
+                _take_out_and_return(control, number, fault, is_recorded)
+            control.deployment.clear_faults()
+        for scenario in (
+            _acceptor_dies,
+            _notice_arrives_after_the_return,
+            _operators_race,
+            _request_is_open_at_sigterm,
+            _running_work_moves,
+        ):
+            scenario(control)
+            restore(control.deployment)
+            control.check_takes()
+
+
+def _take_out_and_return(control, number, fault, is_recorded):
+    deployment = control.deployment
+    entry = entry_in(deployment, ("kumasi", "mampong", "obuasi")[number % 3], 1)
+    control.wait_starts("obuasi", 0.0)
+    deployment.platform_fault(service="table", **fault)
+    order = control.order("out", "obuasi", entry)
+    check.assertIn(order.status, (200, 202), order)
+    if is_recorded is not None:
+        wanted = "recorded" if is_recorded else "not_recorded"
+        check.assertEqual(order.answer["outcome"], wanted, order)
+    control.wait_past_bound(order)
+    control.check_takes()
+    if "data_centre" in fault:
+        # Those that reach the table record what the others accepted.
+        control.wait_recorded("obuasi", True)
+    deployment.clear_faults()
+    control.wait_recorded("obuasi", True)
+    returned = deployment.wait(
+        functools.partial(_bring_back, control, entry), "obuasi is returned"
+    )
+    control.wait_recorded("obuasi", False)
+    control.wait_starts("obuasi", returned.received_seconds)
+
+
+def _bring_back(control, entry):
+    order = control.order("in", "obuasi", entry)
+    if order.status != 200:
+        check.assertEqual(order.answer["outcome"], "not_recorded", order)
+    return order if order.status == 200 else None
+
+
+def _acceptor_dies(control):
+    """The take-out lives on at the peers of an instance that dies before the table."""
+    deployment = control.deployment
+    deployment.platform_fault(service="table", mode="down")
+    acceptor = entry_in(deployment, "mampong", 1)
+    with running_load(deployment):
+        order = control.order("out", "obuasi", acceptor)
+        acceptor.process.kill()
+        check.assertEqual(order.answer["outcome"], "not_recorded")
+        check.assertTrue(order.answer["is_in_force"], order)
+        control.wait_past_bound(order)
+        control.check_takes()
+    deployment.clear_faults()
+    control.wait_recorded("obuasi", True)
+    _bring_back(control, entry_in(deployment, "obuasi"))
+
+
+def _notice_arrives_after_the_return(control):
+    """A copy of a notice that is held up must not undo the return."""
+    deployment = control.deployment
+    deployment.set_links("kumasi", "mampong", mode="hold")
+    order = control.order("out", "obuasi", entry_in(deployment, "kumasi"))
+    check.assertEqual(order.answer["outcome"], "recorded")
+    control.wait_recorded("obuasi", True)
+    order = control.order("in", "obuasi", entry_in(deployment, "kumasi"))
+    check.assertEqual(order.status, 200, order)
+    rows_count = len(control.rows())
+    deployment.set_links("kumasi", "mampong", mode="pass")
+    with running_load(deployment):
+        control.wait_past_bound(order)
+        control.wait_starts("obuasi", order.received_seconds + 3.0)
+    check.assertEqual(len(control.rows()), rows_count)
+
+
+def _operators_race(control):
+    """Of a take-out and a return at once, the row ends as the later version says."""
+    deployment = control.deployment
+    entries = [entry_in(deployment, name) for name in ("kumasi", "mampong")]
+    for _ in range(6):
+        control.order("out", "obuasi", entries[0])
+        calls = [
+            control.threads.submit(control.order, kind, "obuasi", entry)
+            for kind, entry in zip(("in", "out"), entries, strict=True)
+        ]
+        returned, taken = (call.result() for call in calls)
+        check.assertEqual(taken.answer["outcome"], "recorded", taken)
+        if returned.status == 200:
+            versions = (taken.answer["version"], returned.answer["version"])
+            check.assertNotEqual(*versions)
+            control.wait_recorded("obuasi", versions[0] > versions[1])
+        else:
+            check.assertEqual(returned.answer["code"], "conflict")
+            control.wait_recorded("obuasi", True)
+    deployment.wait(lambda: _bring_back(control, entries[0]), "obuasi is returned")
+
+
+def _request_is_open_at_sigterm(control):
+    """An instance that stops answers the open request of an operator truthfully."""
+    deployment = control.deployment
+    entry = entry_in(deployment, "mampong", 1)
+    deployment.platform_fault(service="table", mode="slow", delay_seconds=1.0)
+    call = control.threads.submit(control.order, "out", "obuasi", entry)
+    deployment.wait(
+        lambda: _knows_notice(entry_in(deployment, "kumasi")), "the notice is known"
+    )
+    entry.process.terminate()
+    order = call.result()
+    check.assertEqual(order.status, 200, order)
+    recorded = [row for row in control.rows() if "obuasi" in row["data_centres_out"]]
+    check.assertEqual(recorded[-1]["version"], order.answer["version"])
+    deployment.clear_faults()
+    entry.process.popen.wait(10.0)
+    _bring_back(control, entry_in(deployment, "kumasi"))
+
+
+def _knows_notice(entry):
+    answer = entry.request("GET", "/v1/configuration")[1]
+    return "obuasi" in answer["data_centres_out"]
+
+
+def _running_work_moves(control):
+    """Running work moves or finishes in the drain time, and nothing moves back."""
+    deployment = control.deployment
+    obuasi, kumasi = (entry_in(deployment, name) for name in ("obuasi", "kumasi"))
+    bodies = [
+        new_job("move", tasks_count=1, run_seconds=5.0, is_checkpointable=True),
+        new_job("move", tasks_count=2, run_seconds=5.0),
+        new_job("stay", tasks_count=1, run_seconds=2.5, is_repeatable=False),
+    ]
+    ids = []
+    for body in bodies:
+        status, answer = obuasi.request("POST", "/v1/jobs", body)
+        check.assertEqual(status, 202, answer)
+        ids.append(answer["job_id"])
+    deployment.wait(lambda: _places(control, ids) == [{"obuasi"}] * 3, "all start")
+    order = control.order("out", "obuasi", kumasi)
+    deployment.wait(
+        lambda: all(places - {"obuasi"} for places in _places(control, ids)[:2]),
+        "the repeatable gangs start elsewhere",
+        # Drain time, checkpoint, stop round, and a start.
+        timeout_seconds=2.0 + 1.5 + 1.0 + 3.0,
+    )
+    control.wait_past_bound(order)
+    _bring_back(control, kumasi)
+    answers = [wait_final(deployment, kumasi, job_id) for job_id in ids]
+    check.assertEqual([answer["outcome"] for answer in answers], ["done"] * 3)
+    check.assertEqual([answer["attempt"] for answer in answers], [2, 2, 1])
+
+
+def _places(control, job_ids):
+    """Return the data centres in which each job has started."""
+    events = control.deployment.worker_journal()
+    return [
+        {
+            event["data_centre"]
+            for event in events
+            if event["event"] == "task_start" and event["job_id"] == job_id
+        }
+        for job_id in job_ids
+    ]
