--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -3,6 +3,14 @@
 import heapq
 from unittest import mock
 
+from bench.workloads import (
+    add_jobs,
+    make_configuration,
+    make_job,
+    make_plan,
+    make_scheduler,
+    make_worker,
+)
 from kingcuptrack.state.scheduling import (
     ReclaimGang,
     StartGang,
@@ -23,14 +31,6 @@
     waiting_reason,
 )
 
-from .policy import (
-    add_jobs,
-    make_configuration,
-    make_job,
-    make_plan,
-    make_scheduler,
-    make_worker,
-)
 from .support import check, function_tests
 
 load_tests = function_tests(__name__)
@@ -199,6 +199,15 @@
     check.assertEqual(run(scheduler), (["b"], []))
 
 
+def test_slot_is_placed_again_when_a_rack_could_hold_it():
+    """Guards against a slot that spans racks although one rack has enough workers."""
+    scheduler = make_scheduler(2, rack_size=3, design=make_plan(1, 3, 8))
+    set_worker(scheduler, make_worker(3, rack_size=3))
+    check.assertEqual(guarantee_shortfalls(scheduler), [])
+    set_worker(scheduler, make_worker(2, rack_size=3, is_leaving=True))
+    check.assertEqual(len(guarantee_shortfalls(scheduler)), 1)
+
+
 def test_large_gang_is_not_starved_by_backfill():
     """Guards against a large patient gang that never finds its workers free."""
     settings = {"reservation_after_seconds": 100.0}
@@ -218,6 +227,24 @@
     check.assertEqual(run(scheduler, 204.0), (["large"], []))
 
 
+def test_reservation_moves_to_workers_that_become_free():
+    """Guards against a reservation that waits for a gang that runs for days."""
+    scheduler = make_scheduler(4, rack_size=2, design=NONE, sales=NONE)
+    add_jobs(scheduler, *(make_job(f"s{index}", "sales", 1, 8) for index in range(4)))
+    run(scheduler)
+    add_jobs(scheduler, make_job("large", "design", 2, 8))
+    run(scheduler, 200.0)
+    reserved = set(scheduler.reservation.worker_ids)
+    for job_id, gang in list(scheduler.gangs.items()):
+        if reserved.isdisjoint(gang.worker_ids):
+            end(scheduler, job_id, 201.0, succeeded=True)
+            fill = make_job(f"fill {job_id}", "sales", 1, 2, queued_seconds=0.0)
+            add_jobs(scheduler, fill)
+            run(scheduler, 201.0 + len(scheduler.gangs))
+    run(scheduler, 300.0)
+    check.assertTrue(reserved.isdisjoint(scheduler.reservation.worker_ids))
+
+
 def test_failing_worker_is_avoided_quarantined_and_probed():
     """Guards against a worker that fails everything it starts."""
     scheduler = make_scheduler(2, design=NONE)
@@ -290,9 +317,12 @@
     add_jobs(scheduler, make_job("u", "sales", 1, 8, urgent=True))
     decisions = decide(scheduler, now_seconds=0.0, is_isolated=True)
     check.assertEqual([item.gang.job.job_id for item in decisions], ["g", "u"])
-    for job_id in ("once", "p"):
+    once = {"urgent": True, "is_repeatable": False, "is_checkpointable": True}
+    add_jobs(scheduler, make_job("saved", "design", 1, 8, **once))
+    check.assertEqual(decide(scheduler, now_seconds=0.0, is_isolated=True), [])
+    for job_id in ("once", "p", "saved"):
         check.assertIn("isolated", waiting_reason(scheduler, job_id))
-    check.assertEqual(run(scheduler), (["once", "p"], []))
+    check.assertEqual(run(scheduler), (["saved", "once"], []))
 
 
 def test_adopted_gangs_keep_their_guarantee():
