Test take-outs during a start, and four windows of the configuration in memory

Guards: a start under way when a take-out arrives, a return that began before a take-out, a recorded and replaced change, an edit of a restored row.

--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -7,6 +7,7 @@
 from websockets.exceptions import ConnectionClosed
 from websockets.sync.client import connect
 
+from kingcuptrack.outcomes import Refused, Unknown
 from kingcuptrack.protocol.codecs import json_converter
 from kingcuptrack.protocol.messages import PushConfiguration
 from kingcuptrack.state.plans import Configuration
@@ -23,6 +24,7 @@
     write_row,
 )
 from .support import NO_ANSWER, check, function_tests
+from .test_configuration_fuzz import ConfigurationMachine
 
 load_tests = function_tests(__name__)
 
@@ -215,3 +217,71 @@
     deployment.clear_faults()
     deployment.wait_ready([lonely])
     wait_in_force(deployment, version)
+
+
+def _drain_others(machine):
+    """Let all calls end but the oldest."""
+    while len(machine.network.calls) > 1:
+        machine.network.advance(1)
+        machine.settle()
+
+
+def test_take_out_wins_over_a_return_that_began_before():
+    """Guards against a slow return that revokes a take-out it had not seen."""
+    machine = ConfigurationMachine()
+    machine.operate("out", 0, "kumasi", None, 100)
+    machine.exchange_all()
+    machine.operate("in", 0, "kumasi", None, 0)
+    machine.operate("out", 1, "kumasi", None, 0)
+    _drain_others(machine)
+    machine.flow(100, 0)
+    refused = machine.requests[1][1].outcome
+    check.assertEqual((type(refused), refused.code), (Refused, "conflict"))
+    machine.teardown()
+
+
+def test_recorded_change_that_was_replaced_is_not_called_refused():
+    """Guards against "not recorded" about a change that was in force for a while."""
+    machine = ConfigurationMachine()
+    machine.operate("edit", 0, "", ("write", "lose_answer", 1), 3)
+    check.assertEqual(machine.table.version, 1)
+    machine.poll_or_beat(1, 1)
+    _drain_others(machine)
+    machine.operate("edit", 1, "", None, 0)
+    _drain_others(machine)
+    check.assertEqual(machine.table.version, 2)
+    machine.flow(100, 0)
+    check.assertIsInstance(machine.requests[0][1].outcome, Unknown)
+    machine.teardown()
+
+
+def test_edit_of_a_restored_row_asks_peers_first():
+    """Guards against an edit of an old version that a backup brought back."""
+    machine = ConfigurationMachine()
+    for number in (0, 1):
+        machine.operate("edit", number, "", ("push", "lose", 2), 100)
+        machine.network.faults.clear()
+        machine.poll_or_beat(1, 1)
+        if number == 0:
+            machine.poll_or_beat(2, 2)
+        machine.flow(100, 0)
+    versions = [instance.keeper.current.version for instance in machine.instances]
+    check.assertEqual(versions[1:], [2, 1])
+    machine.restore_row(1, False)
+    machine.poll_or_beat(1, 2)
+    machine.flow(100, 0)
+    machine.operate("edit", 2, "", None, 100)
+    check.assertEqual(machine.requests[2][1].outcome.code, "conflict")
+    machine.is_restore_lossy = False
+    machine.teardown()
+
+
+def test_take_out_is_acknowledged_after_the_starts_under_way():
+    """Guards against "in force" while a start decided before is on its way."""
+    machine = ConfigurationMachine()
+    instance = machine.instances[0]
+    with instance.keeper.starting():
+        machine.operate("out", 0, "kumasi", None, 100)
+        check.assertEqual(instance.keeper.acknowledged(), (0, ()))
+    check.assertEqual(instance.keeper.acknowledged(), (1, ()))
+    machine.teardown()
