Measure the placement policy against two baselines on real daemons

Cause: the policy was compared with other placements only in the process of bench/fragmentation.py, never end to end.

Ruled out: calling the private refresh of the scheduler from the baselines. They call decide with no attempts allowed, which queues delayed jobs and follows changes of workers without placing anything.

--- /dev/null
+++ b/bench/baseline_entry.py
@@ -0,0 +1,36 @@
+"""Entry daemon with a placement policy of `bench.baselines`."""
+
+import sys
+from pathlib import Path
+from typing import Literal
+
+import anyio
+import defopt
+
+from kingcuptrack.coordination.entry import Entry
+from kingcuptrack.findings import has_errors
+from kingcuptrack.logs import configure_logs
+from kingcuptrack.settings import load_settings
+
+from .baselines import BASELINES
+
+
+def run_entry(*, policy: Literal[tuple(BASELINES)], settings: Path):
+    """Run an entry instance until it gets SIGTERM or SIGINT.
+
+    :param policy: name of the placement policy
+    :param settings: INI file with the settings of this instance
+    """
+    loaded, findings = load_settings(settings)
+    for finding in findings:
+        print(finding, file=sys.stderr)
+    if loaded is None or has_errors(findings):
+        return 2
+    configure_logs(level=loaded.log_level, instance_id=loaded.instance_id)
+    entry = Entry(settings=loaded, decide=BASELINES[policy])
+    anyio.run(entry.run, backend="asyncio")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(defopt.run(run_entry))
--- /dev/null
+++ b/bench/baselines.py
@@ -0,0 +1,83 @@
+"""Baseline policies that the placement policy is compared with.
+
+They have the signature of `kingcuptrack.state.scheduling.decide` and use the same
+state. Both keep capacity correct and gangs whole. They know no shares, quotas, fair
+order, reclaim, advance reservations or best fit. Health and the exclusion of workers
+that refused or failed a job stay, since these are not rules of placement.
+"""
+
+from kingcuptrack.state.cluster import task_needs
+from kingcuptrack.state.commitments import excluded_worker_ids, start_gang
+from kingcuptrack.state.jobs import Urgency
+from kingcuptrack.state.limits import is_kept_by_isolation
+from kingcuptrack.state.model import Round, is_out
+from kingcuptrack.state.placement import Level, first_fit
+from kingcuptrack.state.queues import all_jobs
+from kingcuptrack.state.scheduling import decide
+
+
+def first_come_first_fit(scheduler, *, now_seconds, is_isolated=False):
+    """Start the oldest jobs that fit, each on the first workers with room."""
+    return _start_in_order(scheduler, now_seconds, is_isolated, _by_age)
+
+
+def priority_without_reservation(scheduler, *, now_seconds, is_isolated=False):
+    """Start urgent jobs first, then by age; nothing is kept free for large gangs."""
+    return _start_in_order(scheduler, now_seconds, is_isolated, _by_urgency)
+
+
+def _by_age(job):
+    return (job.queued_seconds, job.job_id)
+
+
+def _by_urgency(job):
+    return (job.spec.urgency != Urgency.URGENT, *_by_age(job))
+
+
+def _start_in_order(scheduler, now_seconds, is_isolated, order):
+    _refresh(scheduler, now_seconds, is_isolated)
+    round_ = Round(
+        now_seconds=now_seconds, attempts_left_count=0, is_isolated=is_isolated
+    )
+    if not scheduler.cluster.workers or is_out(scheduler):
+        return round_.decisions
+    unfit = {}
+    for job in sorted(all_jobs(scheduler.queues), key=order):
+        spec = job.spec
+        needs = task_needs(spec.shape)
+        excluded = excluded_worker_ids(scheduler, job.job_id, now_seconds)
+        is_unfit = spec.tasks_count >= unfit.get(needs, spec.tasks_count + 1)
+        if is_unfit or is_kept_by_isolation(is_isolated, spec):
+            continue
+        worker_ids = _find_workers(scheduler, needs, spec.tasks_count, excluded)
+        if worker_ids is None:
+            if not excluded:
+                unfit[needs] = spec.tasks_count
+            continue
+        start_gang(scheduler, round_, job, worker_ids, False, "first fit")
+    return round_.decisions
+
+
+def _find_workers(scheduler, needs, tasks_count, excluded):
+    cluster = scheduler.cluster
+    racks = {
+        rack: [worker_id for worker_id in worker_ids if worker_id not in excluded]
+        for rack, worker_ids in cluster.racks.items()
+    }
+    return first_fit(racks, cluster.available, needs, tasks_count, tuple(Level))
+
+
+def _refresh(scheduler, now_seconds, is_isolated):
+    """Queue delayed jobs and follow changes of workers, without placing anything."""
+    limit_count = scheduler.attempts_limit_count
+    scheduler.attempts_limit_count = 0
+    try:
+        decide(scheduler, now_seconds=now_seconds, is_isolated=is_isolated)
+    finally:
+        scheduler.attempts_limit_count = limit_count
+
+
+BASELINES = {
+    "first_come_first_fit": first_come_first_fit,
+    "priority_without_reservation": priority_without_reservation,
+}
--- /dev/null
+++ b/bench/policy.py
@@ -0,0 +1,530 @@
+"""The placement policy and two baselines on one seeded trace, with real daemons.
+
+Each run starts a deployment of its own. The policies take turns, so that all of them
+see the same load of the machine. See ``docs/policy-measurements.md``.
+"""
+
+import gzip
+import json
+import os
+import statistics
+import time
+from collections import Counter
+from pathlib import Path
+
+import anyio
+import attrs
+import defopt
+import httpcore
+
+from emulator.load import Report, follow_job, send
+from kingcuptrack.state.jobs import make_job_id
+from tests.cases import apply_lists, wait_placers
+from tests.deployment import ENTRY_MODULE, start_deployment
+
+from . import traces
+from .baselines import BASELINES
+from .journals import (
+    decision_counts,
+    finished_seconds,
+    fragmentation_samples,
+    make_occupancy,
+    read_attempts,
+    read_holdings,
+    start_seconds,
+    summarise,
+)
+
+POLICIES = ("policy", *BASELINES)
+SEEDS = (1, 2, 3)
+TRACE_SECONDS = 28.0
+DRAIN_SECONDS = 14.0
+QUICK_TRACE_SECONDS = 12.0
+QUICK_DRAIN_SECONDS = 6.0
+SAMPLE_SECONDS = 0.25
+BUCKETS_COUNT = 8
+# Work that runs in a leaving data centre may finish for this time. The default is
+# longer than the trace.
+DRAIN_TIMEOUT_SECONDS = 2.0
+# A gang that is started in part may run for one lease and one start round.
+PARTIAL_LIMIT_SECONDS = 11.0
+
+
+@attrs.define(kw_only=True)
+class JobResult:
+    """A job of the trace and what happened to it; times are monotonic seconds."""
+
+    job: traces.TraceJob
+    job_id: str
+    submitted_seconds: float
+    ended_seconds: float | None = None
+    outcome: str = "pending"
+    started_seconds: float | None = None
+
+
+@attrs.define(kw_only=True)
+class Run:
+    """One run of a trace under a policy."""
+
+    policy: str
+    seed: int
+    seconds: float
+    has_take_out: bool
+    start_seconds: float = 0.0
+    end_seconds: float = 0.0
+    load_average: float = 0.0
+    idle_share: float = 0.0
+    results: list = attrs.field(factory=list)
+    events: list = attrs.field(factory=list)
+    decisions: Counter = attrs.field(factory=Counter)
+    operator_answers: list = attrs.field(factory=list)
+
+    def at(self, part):
+        """Return the monotonic time of a part of the trace."""
+        return self.start_seconds + part * self.seconds
+
+
+def read_processor_seconds():
+    """Return idle and total processor time of the machine since it started."""
+    with open("/proc/stat", encoding="ascii") as file:
+        amounts = [int(text) for text in file.readline().split()[1:]]
+    return amounts[3] + amounts[4], sum(amounts[:8])
+
+
+def run_trace(policy, seed, *, seconds, drain_seconds, has_take_out, directory=None):
+    """Run one trace on a new deployment and return the run."""
+    run = Run(policy=policy, seed=seed, seconds=seconds, has_take_out=has_take_out)
+    is_baseline = policy in BASELINES
+    with start_deployment(
+        data_centres=traces.DATA_CENTRES,
+        workers_count=traces.WORKERS_COUNT,
+        settings={"workers": {"drain_timeout_seconds": DRAIN_TIMEOUT_SECONDS}},
+        entry_module="bench.baseline_entry" if is_baseline else ENTRY_MODULE,
+        entry_arguments=("--policy", policy) if is_baseline else (),
+    ) as deployment:
+        wait_placers(deployment)
+        apply_lists(deployment, organisations=traces.ORGANISATIONS, plans=traces.PLANS)
+        for worker_id in traces.FAILING_WORKER_IDS:
+            data_centre = worker_id.partition("-")[0]
+            deployment.worker_fault(data_centre, "fail_starts", worker_id=worker_id)
+        run.load_average = os.getloadavg()[0]
+        idle, total = read_processor_seconds()
+        jobs = traces.make_trace(seed, seconds)
+        urls = [entry.url for entry in deployment.running_entries()]
+        anyio.run(submit_all, run, jobs, urls, drain_seconds)
+        idle_now, total_now = read_processor_seconds()
+        run.idle_share = (idle_now - idle) / max(1, total_now - total)
+        run.events = deployment.worker_journal()
+        logs = {
+            process.name: process.log_text()
+            for process in deployment.processes
+            if process.name in deployment.entries
+        }
+    run.decisions = decision_counts(logs.values())
+    fill_starts(run)
+    if directory is not None:
+        save_run(run, logs, Path(directory))
+    return run
+
+
+async def submit_all(run, jobs, urls, drain_seconds):
+    """Submit all jobs at their times and follow them until the end of the run."""
+    run.start_seconds = time.monotonic()
+    report = Report()
+    with anyio.move_on_after(run.seconds + drain_seconds):
+        async with anyio.create_task_group() as tasks:
+            for index, job in enumerate(jobs):
+                tasks.start_soon(run_job, run, job, urls, report, index)
+                if job.cancel_at_seconds is not None:
+                    tasks.start_soon(cancel_job, run, job, urls[index % len(urls)])
+            if run.has_take_out:
+                tasks.start_soon(take_out_and_return, run, urls[0])
+    run.end_seconds = time.monotonic()
+
+
+async def run_job(run, job, urls, report, first_index):
+    """Submit one job and record its outcome."""
+    await anyio.sleep(job.at_seconds)
+    result = JobResult(
+        job=job,
+        job_id=make_job_id(job.spec.organisation, job.spec.idempotency_key),
+        submitted_seconds=time.monotonic(),
+    )
+    run.results.append(result)
+    async with httpcore.AsyncConnectionPool() as pool:
+        result.outcome, _, _ = await follow_job(
+            job, pool=pool, entry_urls=urls, report=report, first_index=first_index
+        )
+    result.ended_seconds = time.monotonic()
+
+
+async def cancel_job(run, job, url):
+    """Cancel one job at its time."""
+    await anyio.sleep(job.cancel_at_seconds)
+    job_id = make_job_id(job.spec.organisation, job.spec.idempotency_key)
+    async with httpcore.AsyncConnectionPool() as pool:
+        await send(pool, "DELETE", f"{url}/v1/jobs/{job_id}", b"")
+
+
+async def take_out_and_return(run, url):
+    """Take a data centre out of service and bring it back."""
+    path = f"{url}/v1/data-centres/{traces.DATA_CENTRE_OUT}"
+    async with httpcore.AsyncConnectionPool() as pool:
+        for part, action in ((traces.OUT_PART, "out"), (traces.IN_PART, "in")):
+            await anyio.sleep(max(0.0, run.at(part) - time.monotonic()))
+            status, _ = await send(pool, "POST", f"{path}/{action}", b"")
+            run.operator_answers.append(status)
+
+
+def fill_starts(run):
+    """Set the start of each job from the journal."""
+    attempts = read_attempts(run.events)
+    for result in run.results:
+        result.started_seconds = start_seconds(
+            attempts.get(result.job_id, ()), result.job.spec.tasks_count
+        )
+
+
+def save_run(run, logs, directory):
+    """Write the journal, the outcomes and the logs for a search for causes."""
+    directory.mkdir(parents=True, exist_ok=True)
+    suffix = "" if run.has_take_out else "-no-take-out"
+    path = directory / f"{run.policy}-{run.seed}{suffix}.json.gz"
+    content = {
+        "start_seconds": run.start_seconds,
+        "jobs": [
+            {
+                "job_id": result.job_id,
+                "kind": result.job.kind,
+                "organisation": result.job.spec.organisation,
+                "tasks_count": result.job.spec.tasks_count,
+                "accelerators_count": result.job.spec.shape.accelerators_count,
+                "run_seconds": result.job.run_seconds,
+                "submitted_seconds": result.submitted_seconds,
+                "started_seconds": result.started_seconds,
+                "ended_seconds": result.ended_seconds,
+                "outcome": result.outcome,
+            }
+            for result in run.results
+        ],
+        "events": run.events,
+        "logs": logs,
+    }
+    with gzip.open(path, "wt", encoding="utf-8") as file:
+        json.dump(content, file)
+
+
+def completion_times(run, results):
+    """Return the completion times of jobs that should be done.
+
+    A job that was still open at the end of the run counts with its age then, so that
+    work left undone does not improve the figures.
+    """
+    times = []
+    for result in results:
+        is_open = result.outcome == "pending"
+        if result.job.cancel_at_seconds is None and (
+            is_open or result.outcome == "done"
+        ):
+            ended_seconds = run.end_seconds if is_open else result.ended_seconds
+            times.append(ended_seconds - result.submitted_seconds)
+    return times
+
+
+def start_delays(run, results):
+    """Return the start delays of jobs that could run; open ones as in
+    `completion_times`."""
+    delays = []
+    for result in results:
+        if result.started_seconds is not None:
+            delays.append(result.started_seconds - result.submitted_seconds)
+        elif result.outcome == "pending":
+            delays.append(run.end_seconds - result.submitted_seconds)
+    return delays
+
+
+def incomplete_starts(run):
+    """Return the attempts in which only some tasks of a gang started."""
+    tasks_counts = {item.job_id: item.job.spec.tasks_count for item in run.results}
+    return [
+        attempt
+        for job_id, attempts in read_attempts(run.events).items()
+        for attempt in attempts
+        if len(attempt.starts) < tasks_counts.get(job_id, 1)
+    ]
+
+
+def occupancy_of(run, holdings):
+    """Return the occupancy of the workers that do not fail everything."""
+    racks = {
+        name: [
+            f"{name}-worker-{index:02d}"
+            for index in range(traces.WORKERS_COUNT)
+            if f"{name}-worker-{index:02d}" not in traces.FAILING_WORKER_IDS
+        ]
+        for name in traces.DATA_CENTRES
+    }
+    return make_occupancy(holdings, racks, traces.WORKER_ACCELERATORS_COUNT)
+
+
+def measure_fragmentation(run, occupancy):
+    """Return the samples of the time in which jobs arrive."""
+
+    def is_in_service(name, moment):
+        is_out = run.at(traces.OUT_PART) <= moment < run.at(traces.IN_PART)
+        return name != traces.DATA_CENTRE_OUT or not (run.has_take_out and is_out)
+
+    count = int(run.seconds / SAMPLE_SECONDS)
+    moments = [run.start_seconds + index * SAMPLE_SECONDS for index in range(count)]
+    samples = fragmentation_samples(occupancy, moments, is_in_service)
+    return [(moment - run.start_seconds, *rest) for moment, *rest in samples]
+
+
+def held_shares(run, holdings, occupancy):
+    """Return the shares of accelerators that are held, and held by borrowed patient
+    work of the first wave, at the submissions of urgent jobs meanwhile."""
+    kinds = {result.job_id: result.job.kind for result in run.results}
+    wave = [holding for holding in holdings if kinds.get(holding[3]) == "held"]
+    moments = [result.submitted_seconds for result in urgent_while_held(run)]
+    shares = []
+    for part in (occupancy, occupancy_of(run, wave)):
+        total = sum(map(len, part.racks_by_data_centre.values())) * part.capacity_count
+        shares.append(
+            [
+                1 - sum(amounts[0] for amounts in free.values()) / total
+                for _, free in part.samples(moments)
+            ]
+        )
+    return shares
+
+
+def urgent_while_held(run):
+    """Return urgent jobs that arrive while the first wave holds the accelerators."""
+    first, last = (part * run.seconds for part in traces.HELD_PART)
+    return [
+        result
+        for result in run.results
+        if result.job.job_class == "urgent_small"
+        and first <= result.job.at_seconds < last
+    ]
+
+
+def of_kind(run, kind):
+    """Return the jobs of one kind."""
+    return [result for result in run.results if result.job.kind == kind]
+
+
+def work_seconds(run):
+    """Return the task seconds finished while the data centre leaves and returns."""
+    run_seconds = {item.job_id: item.job.run_seconds for item in run.results}
+    first, last = run.at(traces.OUT_PART), run.at(traces.WORK_END_PART)
+    return finished_seconds(run.events, run_seconds, first, last)
+
+
+def pooled(runs, values_of):
+    """Return the values of all runs together."""
+    return [value for run in runs for value in values_of(run)]
+
+
+def completion_figures(runs):
+    """Return completion times by class and by organisation."""
+    groups = {}
+    for run in runs:
+        for result in run.results:
+            job = result.job
+            for name in (job.job_class, f"organisation_{job.spec.organisation}"):
+                times = completion_times(run, [result])
+                groups.setdefault(name, []).extend(times)
+    return {name: summarise(times) for name, times in sorted(groups.items()) if times}
+
+
+def fragmentation_figures(runs):
+    """Return the measure of `unfragmented_ratio` over time, and its mean."""
+    by_seed = {}
+    samples = []
+    for run in runs:
+        own = measure_fragmentation(run, run_occupancy(run)[1])
+        by_seed[run.seed] = round(statistics.mean(ratio for _, ratio, _, _ in own), 4)
+        samples += [(moment / run.seconds, *rest) for moment, *rest in own]
+    buckets = [[] for _ in range(BUCKETS_COUNT)]
+    for part, ratio, _, _ in samples:
+        buckets[min(BUCKETS_COUNT - 1, int(part * BUCKETS_COUNT))].append(ratio)
+    mean = statistics.mean(ratio for _, ratio, _, _ in samples)
+    largest = sum(count for _, _, count, _ in samples)
+    free = sum(count for _, _, _, count in samples)
+    return {
+        "largest_placeable_per_free_accelerator_mean": round(mean, 4),
+        "largest_placeable_per_free_accelerator_by_seed": by_seed,
+        "largest_placeable_per_free_accelerator_over_time": [
+            round(statistics.mean(bucket), 3) if bucket else None for bucket in buckets
+        ],
+        "largest_placeable_per_free_accelerator_weighted": round(largest / free, 4),
+        "free_accelerators_per_data_centre_mean_count": round(free / len(samples), 2),
+        "samples_count": len(samples),
+    }
+
+
+def run_occupancy(run):
+    """Return the holdings and the occupancy of a run."""
+    counts = {
+        item.job_id: item.job.spec.shape.accelerators_count for item in run.results
+    }
+    holdings = read_holdings(run.events, counts)
+    return holdings, occupancy_of(run, holdings)
+
+
+def policy_figures(runs, controls):
+    """Return all figures of one policy."""
+    shares = [held_shares(run, *run_occupancy(run)) for run in runs]
+    partial = pooled(runs, incomplete_starts)
+    work = {run.seed: round(work_seconds(run), 1) for run in runs}
+    control_work = {run.seed: round(work_seconds(run), 1) for run in controls}
+
+    def delays_of(results_of):
+        return summarise(pooled(runs, lambda run: start_delays(run, results_of(run))))
+
+    return {
+        "completion": completion_figures(runs),
+        "urgent_start_delay": delays_of(
+            lambda run: [
+                item for item in run.results if item.job.job_class == "urgent_small"
+            ]
+        ),
+        "urgent_start_delay_while_held": delays_of(urgent_while_held),
+        "held_accelerators_mean_share": round(
+            statistics.mean(value for held, _ in shares for value in held), 3
+        ),
+        "held_by_borrowed_patient_work_mean_share": round(
+            statistics.mean(value for _, wave in shares for value in wave), 3
+        ),
+        "reclaim_of_guaranteed_shape": delays_of(
+            lambda run: of_kind(run, "guaranteed")
+        ),
+        "largest_gang_start_delay": delays_of(lambda run: of_kind(run, "largest")),
+        "fragmentation": fragmentation_figures(runs),
+        "work_finished_task_seconds_by_seed": work,
+        "work_finished_without_take_out_task_seconds_by_seed": control_work,
+        "work_finished_share_by_seed": {
+            seed: round(work[seed] / control_work[seed], 3)
+            for seed in work
+            if control_work.get(seed)
+        },
+        "incomplete_starts_count": len(partial),
+        "incomplete_start_longest_seconds": round(
+            max((attempt.span_seconds for attempt in partial), default=0.0), 3
+        ),
+        "gangs_partially_run_count": sum(
+            attempt.has_effect or attempt.span_seconds > PARTIAL_LIMIT_SECONDS
+            for attempt in partial
+        ),
+        "outcomes_count": dict(
+            sorted(
+                Counter(
+                    pooled(runs, lambda run: map(outcome_label, run.results))
+                ).items()
+            )
+        ),
+        "decisions_count": dict(
+            sorted(sum((run.decisions for run in runs), Counter()).items())
+        ),
+    }
+
+
+def outcome_label(result):
+    """Return the outcome, with the kind of the job if it is not as wanted."""
+    if result.outcome in ("pending", "unknown", "failed"):
+        return f"{result.outcome}: {result.job.kind}"
+    return result.outcome
+
+
+def print_run(run):
+    """Print one line about a run."""
+    done_count = sum(result.outcome == "done" for result in run.results)
+    pending_count = sum(result.outcome == "pending" for result in run.results)
+    print(
+        f"{run.policy} seed={run.seed} take_out={run.has_take_out} "
+        f"load_average={run.load_average:.1f} idle={run.idle_share:.2f} "
+        f"jobs={len(run.results)} done={done_count} pending={pending_count} "
+        f"seconds={run.end_seconds - run.start_seconds:.1f} "
+        f"operator={run.operator_answers}",
+        flush=True,
+    )
+
+
+def print_figures(name, figures):
+    """Print the figures of one policy."""
+    print(f"\n{name}")
+    for key, value in figures.items():
+        if isinstance(value, dict) and all(
+            isinstance(item, dict) for item in value.values()
+        ):
+            for part, item in value.items():
+                print(f"  {key} {part}: {describe(item)}")
+        else:
+            print(f"  {key}: {describe(value)}")
+
+
+def describe(value):
+    """Return a value as text."""
+    if isinstance(value, dict):
+        return "  ".join(f"{key}={item}" for key, item in value.items())
+    return str(value)
+
+
+def main(
+    *,
+    quick: bool = False,
+    seeds: list[int] = list(SEEDS),  # noqa: B006
+    policies: list[str] = list(POLICIES),  # noqa: B006
+    controls_count: int = 1,
+    output: str = "",
+):
+    """Print figures for each policy and a JSON object as the last line.
+
+    :param quick: one seed and a short trace, without the runs without a take-out
+    :param seeds: seeds of the traces
+    :param policies: names of the policies
+    :param controls_count: seeds that are also run without the take-out
+    :param output: directory for journals and logs of each run
+    """
+    seconds, drain_seconds = TRACE_SECONDS, DRAIN_SECONDS
+    if quick:
+        seconds, drain_seconds = QUICK_TRACE_SECONDS, QUICK_DRAIN_SECONDS
+        seeds, controls_count = seeds[:1], 0
+    runs, controls = [], []
+    for index, seed in enumerate(seeds):
+        for has_take_out in (True, False):
+            if not has_take_out and index >= controls_count:
+                continue
+            for policy in policies:
+                run = run_trace(
+                    policy,
+                    seed,
+                    seconds=seconds,
+                    drain_seconds=drain_seconds,
+                    has_take_out=has_take_out,
+                    directory=output or None,
+                )
+                print_run(run)
+                (runs if has_take_out else controls).append(run)
+    cases = {}
+    for policy in policies:
+        cases[policy] = policy_figures(
+            [run for run in runs if run.policy == policy],
+            [run for run in controls if run.policy == policy],
+        )
+        print_figures(policy, cases[policy])
+    result = {
+        "benchmark": "policy",
+        "seeds": seeds,
+        "trace_seconds": seconds,
+        "idle_processor_share_by_run": [
+            round(run.idle_share, 3) for run in (*runs, *controls)
+        ],
+        "policies": cases,
+    }
+    print(json.dumps(result))
+
+
+if __name__ == "__main__":
+    defopt.run(main, short={})
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -79,7 +79,8 @@
     """Processes of a deployment.
 
     ``entries`` holds every entry ever started, by instance id; ``workers`` the worker
-    process by data centre. ``settings`` are overrides by section and key.
+    process by data centre. ``settings`` are overrides by section and key;
+    ``entry_arguments`` are those of ``entry_module`` besides the settings.
     """
 
     directory: Path
@@ -87,6 +88,8 @@
     settings: dict
     ports: PortPool
     remote_delay_seconds: float
+    entry_module: str = ENTRY_MODULE
+    entry_arguments: tuple = ()
     platform: Service | None = None
     workers: dict = attrs.field(factory=dict)
     entries: dict = attrs.field(factory=dict)
@@ -183,7 +186,12 @@
         }
         write_settings(path, sections, self.settings)
         entry = Entry(
-            process=self._run(instance_id, ENTRY_MODULE, "--settings", path),
+            process=self._run(
+                instance_id,
+                self.entry_module,
+                *self.entry_arguments,
+                *("--settings", path),
+            ),
             url=f"http://127.0.0.1:{http_port}",
             instance_id=instance_id,
             data_centre=data_centre,
@@ -384,12 +392,15 @@
     remote_delay_seconds=REMOTE_DELAY_SECONDS,
     settings=None,
     workers_options=None,
+    entry_module=ENTRY_MODULE,
+    entry_arguments=(),
 ):
     """Run a deployment; counts are per data centre.
 
     ``settings`` overrides entry settings by section and key, ``workers_options``
-    command line options of `emulator.workers` by name. The directory with settings and
-    logs is removed, or kept and named if the body fails.
+    command line options of `emulator.workers` by name. Entries are started as
+    ``entry_module`` with ``entry_arguments`` and their settings. The directory with
+    settings and logs is removed, or kept and named if the body fails.
     """
     directory = Path(tempfile.mkdtemp(prefix="kingcuptrack-"))
     deployment = Deployment(
@@ -398,6 +409,8 @@
         settings=settings or {},
         ports=PortPool(),
         remote_delay_seconds=remote_delay_seconds,
+        entry_module=entry_module,
+        entry_arguments=tuple(entry_arguments),
     )
     try:
         deployment.start(
