Mark a worker as leaving by its own refusal; poll the list on schedule

Cause: a worker that refused a reservation because it leaves was tried again until the list showed it, and a slow list was polled every 2 s instead of 1 s, which under load came near the bound of 3 s. Change: a refusal marks the worker; the interval of polls includes their duration.

--- a/kingcuptrack/coordination/attempts.py
+++ b/kingcuptrack/coordination/attempts.py
@@ -106,7 +106,7 @@
 
 async def _execute(context, watch, job, run):
     if not run.is_started and not run.stop_reason:
-        ended = await _start(context, job, run)
+        ended = await _start(context, watch, job, run)
         if ended is not None:
             return ended
         watch.poll_soon(run)
@@ -131,13 +131,14 @@
     return await _stop(context, job, run, failed_worker_ids=())
 
 
-async def _start(context, job, run):
+async def _start(context, watch, job, run):
     """Reserve, claim and start; return an event if the attempt ended."""
     calls = context.gang_calls
     outcomes = await calls.reserve(run, row_version=job.row_version)
     unreserved_ids = _not_done(outcomes)
     if unreserved_ids:
         refused_ids = _refused(outcomes)
+        watch.note_refusals(outcomes)
         return await _release(
             context,
             job,
--- a/kingcuptrack/coordination/membership.py
+++ b/kingcuptrack/coordination/membership.py
@@ -254,7 +254,10 @@
 
     async def _poll_list(self):
         is_registered = False
+        interval_seconds = self._settings.instances_poll_interval_seconds
         while True:
+            # A slow answer must not add to the interval, since the list lags anyway.
+            next_seconds = anyio.current_time() + interval_seconds
             if not is_registered:
                 outcome = await self.register(is_leaving=False)
                 is_registered = isinstance(outcome, Done)
@@ -264,7 +267,7 @@
             else:
                 logger.debug("instance list not read: {}", outcome)
             self._forget_silent_peers()
-            await anyio.sleep(self._settings.instances_poll_interval_seconds)
+            await anyio.sleep_until(next_seconds)
 
     def _apply_list(self, listed_instances):
         self.listed = {listed.instance_id: listed for listed in listed_instances}
--- a/kingcuptrack/coordination/watchers.py
+++ b/kingcuptrack/coordination/watchers.py
@@ -59,6 +59,14 @@
             if worker is not None and listed.is_leaving and not worker.is_leaving:
                 self.observe_worker(attrs.evolve(worker, is_leaving=True))
 
+    def note_refusals(self, outcomes):
+        """Mark workers that refused because they leave, before the list shows it."""
+        for worker_id, outcome in outcomes.items():
+            worker = self._known_workers.get(worker_id)
+            is_leaving = isinstance(outcome, Refused) and outcome.code == "leaving"
+            if is_leaving and worker is not None and not worker.is_leaving:
+                self.observe_worker(attrs.evolve(worker, is_leaving=True))
+
     def observe_worker(self, worker):
         """Store what is known of a worker and tell the scheduler."""
         self._known_workers[worker.worker_id] = worker
