Return a quarantined worker on probation when nothing probes it

Where only gangs of several tasks run, a quarantined worker would never return. Ruled out: probing with one task of a larger gang; the whole gang would fail with the worker. Change: a worker that was due for a probe for 600 s returns on probation; one failure within 600 s quarantines it again.

--- a/kingcuptrack/state/health.py
+++ b/kingcuptrack/state/health.py
@@ -28,6 +28,7 @@
     window_seconds: float = 600.0
     probe_delay_seconds: float = 30.0
     probe_delay_limit_seconds: float = 1800.0
+    probation_after_seconds: float = 600.0
     jobs_limit_count: int = 10_000
     failures_by_worker: dict[str, dict[str, float]] = attrs.field(factory=dict)
     workers_by_job: dict[str, set[str]] = attrs.field(factory=dict)
@@ -106,6 +107,27 @@
     )
 
 
+def release_unprobed(health, *, now_seconds):
+    """Release workers that were due for a probe for long; return their ids.
+
+    Where only gangs of several tasks run, nothing probes. Such a worker returns
+    on probation: one failure within the window quarantines it again.
+    """
+    released = [
+        worker_id
+        for worker_id, quarantine in health.quarantines.items()
+        if not quarantine.probe_job_id
+        and now_seconds >= quarantine.until_seconds + health.probation_after_seconds
+    ]
+    for worker_id in released:
+        del health.quarantines[worker_id]
+        health.failures_by_worker[worker_id] = {
+            f"probation {index}": now_seconds
+            for index in range(health.quarantine_jobs_count - 1)
+        }
+    return released
+
+
 def job_verdict(health, job_id):
     """Return why a job is itself at fault, or an empty string.
 
--- a/kingcuptrack/state/scheduling.py
+++ b/kingcuptrack/state/scheduling.py
@@ -215,6 +215,8 @@
     scheduler.is_isolated = is_isolated
     scheduler.reasons.clear()
     _queue_delayed(scheduler, now_seconds)
+    if health_module.release_unprobed(scheduler.health, now_seconds=now_seconds):
+        scheduler.is_dirty = True
     _repair(scheduler)
     if not scheduler.cluster.workers or is_out(scheduler):
         return round_.decisions
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -6,6 +6,7 @@
     probe_due,
     record_failure,
     record_success,
+    release_unprobed,
     start_probe,
 )
 
@@ -57,6 +58,16 @@
     check.assertEqual(health.quarantines, {})
 
 
+def test_worker_that_nothing_probes_returns_on_probation():
+    """Guards against workers lost for good where only gangs of many tasks run."""
+    health = Health()
+    for job_id in "abc":
+        fail(health, "w1", job_id)
+    check.assertEqual(release_unprobed(health, now_seconds=629.0), [])
+    check.assertEqual(release_unprobed(health, now_seconds=630.0), ["w1"])
+    check.assertTrue(fail(health, "w1", "d", now_seconds=640.0))
+
+
 def test_job_that_fails_on_healthy_workers_is_at_fault():
     """Guards against a faulty job retried until it has quarantined every worker."""
     health = Health()
