Test outcomes against rows of other attempts with a fake table

A conflicting outcome raised an exception instead of being superseded: Refused is a dataclass, not an attrs class.

--- a/kingcuptrack/coordination/claims.py
+++ b/kingcuptrack/coordination/claims.py
@@ -6,6 +6,7 @@
 became final, hence an entry may be stale but no open row lacks one.
 """
 
+import dataclasses
 import uuid
 
 import anyio
@@ -113,7 +114,7 @@
                 return Unknown(message="the job row disappeared")
             if current.row.phase not in FINAL_PHASES:
                 if not _may_finish(row, current.row):
-                    return attrs.evolve(outcome, code="superseded")
+                    return dataclasses.replace(outcome, code="superseded")
                 outcome = await self.write(row, expected_version=current.version)
                 if not isinstance(outcome, Done):
                     return Unknown(message="the job row changed again")
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,107 @@
+"""Final rows against rows of other attempts, and takeovers that find several."""
+
+import functools
+from types import SimpleNamespace
+
+import anyio
+import attrs
+
+from kingcuptrack.coordination import takeover
+from kingcuptrack.coordination.claims import JobTable, VersionedJob
+from kingcuptrack.coordination.placer import Placer
+from kingcuptrack.outcomes import Done, Refused
+from kingcuptrack.protocol.codecs import json_converter
+from kingcuptrack.settings import Settings
+from kingcuptrack.state.jobs import JobRow, JobSpec, Phase
+from kingcuptrack.state.shapes import Shape
+from kingcuptrack.transport.table import Row
+from kingcuptrack.transport.workers import GangState
+
+from .support import check, function_tests
+
+load_tests = function_tests(__name__)
+
+SPEC = JobSpec(organisation="design", tasks_count=1, shape=Shape(), is_repeatable=False)
+
+
+def make_row(phase, **fields):
+    """Return the row of a job that is not repeatable."""
+    fields = {"job_id": "job", "spec": SPEC, "data_centre": "kumasi", **fields}
+    return JobRow(phase=phase, **fields)
+
+
+@attrs.define
+class OneRowTable:
+    """Fake of the table client that holds one row, of version 2."""
+
+    row: JobRow
+
+    async def write_surely(self, table, key, value, *, expected_version, **kwargs):
+        if expected_version == 2:
+            return Done(value=3)
+        current = Row(key=key, version=2, value=json_converter.unstructure(self.row))
+        return Refused(code="conflict", detail=current)
+
+    async def delete(self, table, key):
+        return Done()
+
+
+QUEUED = make_row(Phase.QUEUED)
+CLAIMED = make_row(Phase.CLAIMED, attempt=1, owner_id="a")
+# The row that stands, the outcome that is written over it, and whether it may be.
+FINISHES = (
+    (QUEUED, make_row(Phase.CANCELLED), True),
+    (QUEUED, make_row(Phase.CANCELLED, data_centre="obuasi"), False),
+    (CLAIMED, make_row(Phase.CANCELLED, attempt=1), False),
+    (CLAIMED, make_row(Phase.CANCELLED, attempt=2), False),
+    (CLAIMED, make_row(Phase.CANCELLED, attempt=1, owner_id="a"), True),
+    (CLAIMED, make_row(Phase.DONE, attempt=1, owner_id="b"), False),
+    (CLAIMED, make_row(Phase.DONE, attempt=2, owner_id="b"), True),
+    (make_row(Phase.CLAIMED, attempt=2), make_row(Phase.DONE, attempt=1), False),
+)
+
+
+def test_outcomes_replace_only_rows_that_they_may_speak_for():
+    """Guards against "not run" over the claim of another placer."""
+    for standing, row, is_allowed in FINISHES:
+        job_table = JobTable(table=OneRowTable(standing), objects=None)
+        finish = functools.partial(job_table.finish, row, expected_version=1)
+        outcome = anyio.run(finish)
+        if is_allowed:
+            check.assertIsInstance(outcome, Done)
+        else:
+            check.assertEqual(outcome.code, "superseded", (standing, row))
+
+
+def test_takeover_remembers_a_claim_older_than_reservations():
+    """Guards against a second run after a placer that had not heard of a claim.
+
+    It left a newer reservation, so the claimed attempt shows at no worker that has it.
+    """
+    settings = Settings(
+        instance_id="i",
+        data_centre="kumasi",
+        http_port=1,
+        peer_port=2,
+        table_url="http://t",
+        objects_url="http://t",
+        instances_url="http://t",
+    )
+    context = SimpleNamespace(
+        settings=settings, membership=SimpleNamespace(listed={}), data_centre="kumasi"
+    )
+    placer = Placer(context=context, move_job=None)
+    runs = []
+    placer.attach_run = lambda job, run: runs.append((job, run))
+    details = {
+        "spec": json_converter.unstructure(SPEC),
+        "worker_ids": ["w2"],
+        "row_version": 1,
+    }
+    gang = GangState(job_id="job", token=2, phase="reserved", details=details)
+    row = attrs.evolve(CLAIMED, worker_ids=("w1",))
+    takeover._resolve_row(placer, VersionedJob(row=row, version=2), {"w2": gang}, {})
+    [(job, run)] = runs
+    check.assertTrue(job.may_have_run)
+    check.assertEqual(set(run.members), {"w1", "w2"})
+    check.assertTrue(run.stop_reason)
