Ask the table before a cancelled job without a row is called unknown

Cause: an instance that resumes takes the table for silent and held a copy of a job in memory whose row was cancelled; its cancellation was answered without asking the table, which answered. One write is now tried first, so that the row that stands decides.

--- a/kingcuptrack/coordination/attempts.py
+++ b/kingcuptrack/coordination/attempts.py
@@ -82,10 +82,11 @@
 async def finish_waiting_job(context, job, *, phase, reason):
     """Make a job that holds no worker final; posts the event."""
     row = make_row(job, phase=phase, data_centre=context.data_centre, reason=reason)
-    if not job.row_version and not job.may_have_row:
-        answer = make_answer(row, is_recorded=False)
-        context.mailbox.post(_job_ended(job, answer))
-    answer = await record_until_written(context, job, row)
+    answer, is_written = await record_final(context, job, row)
+    if not is_written and answer is not None:
+        if not job.row_version and not job.may_have_row:
+            context.mailbox.post(_job_ended(job, answer))
+        answer = await record_until_written(context, job, row)
     context.mailbox.post(_job_ended(job, answer))
 
 
