Do not reclaim a gang that got its advance reservation for the next one

A gang that starts from the hold of its reservation counted as backfill of the reservation that the next waiting gang had got meanwhile, and was reclaimed at once.

The new test shows it with the plain scheduler: before the change the gang is reclaimed in the decision that starts it.

Change: a patient gang that starts from a hold is no backfill. Patient borrowed gangs have holds only after an advance reservation.

Conclusion: gangs with reservations no longer stop each other.

--- a/kingcuptrack/state/commitments.py
+++ b/kingcuptrack/state/commitments.py
@@ -54,6 +54,7 @@
         is_guaranteed=is_guaranteed,
         placed_seconds=round_.now_seconds,
     )
+    is_held = job.job_id in scheduler.holds
     drop_job(scheduler.queues, job.job_id)
     occupy_workers(scheduler, gang)
     scheduler.reasons.pop(job.job_id, None)
@@ -68,7 +69,10 @@
             if is_guaranteed:
                 # A guaranteed gang cannot be reclaimed: reserve other workers.
                 scheduler.reservation = None
-            elif job.spec.urgency == Urgency.PATIENT:
+            elif job.spec.urgency == Urgency.PATIENT and not is_held:
+                # A patient gang starts from a hold if it had the reservation before.
+                # As backfill it would be stopped at once, and both gangs would stop
+                # each other in turn.
                 reservation.backfill_job_ids.add(job.job_id)
     round_.decisions.append(StartGang(gang=gang, reason=reason, runners_up=runners_up))
 
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -245,6 +245,31 @@
     check.assertTrue(reserved.isdisjoint(scheduler.reservation.worker_ids))
 
 
+def test_gang_that_got_its_reservation_is_no_backfill_of_the_next():
+    """Guards against waiting gangs that stop each other as soon as they start."""
+    settings = {"reservation_after_seconds": 100.0}
+    scheduler = make_scheduler(2, settings=settings, design=NONE, sales=NONE)
+    add_jobs(scheduler, make_job("s1", "sales", 1, 8), make_job("s2", "sales", 1, 8))
+    run(scheduler)
+    add_jobs(
+        scheduler,
+        make_job("first", "design", 2, 8, queued_seconds=1.0),
+        make_job("second", "design", 2, 8, queued_seconds=2.0),
+    )
+    run(scheduler, 200.0)
+    add_jobs(scheduler, make_job("fill", "sales", 1, 8, queued_seconds=200.0))
+    end(scheduler, "s1", 201.0, succeeded=True)
+    check.assertEqual(run(scheduler, 201.0), (["fill"], []))
+    end(scheduler, "s2", 203.0, succeeded=True)
+    check.assertEqual(run(scheduler, 203.0), ([], ["fill"]))
+    check.assertEqual(scheduler.reservation.job_id, "second")
+    end(scheduler, "fill", 204.0, requeue=True)
+    check.assertEqual(run(scheduler, 204.0), (["first"], []))
+    check.assertEqual(run(scheduler, 205.0), ([], []))
+    end(scheduler, "first", 206.0, succeeded=True)
+    check.assertEqual(run(scheduler, 206.0), (["second"], []))
+
+
 def test_failing_worker_is_avoided_quarantined_and_probed():
     """Guards against a worker that fails everything it starts."""
     scheduler = make_scheduler(2, design=NONE)
