Refuse waiting jobs of removed organisations; decide by isolation

Cause: a job whose organisation left the lists waited for ever, and an isolated data centre decided on work that it may not start. Change: a new configuration refuses such jobs as not run (unknown if an attempt may have run); the decision knows the isolation. Before: test_waiting_job_of_a_removed_organisation fails; after: passes.

--- a/kingcuptrack/coordination/placer.py
+++ b/kingcuptrack/coordination/placer.py
@@ -34,6 +34,7 @@
     failure_verdict,
     forget_job,
     gang_ended,
+    never_fitting_jobs,
     remove_job,
     set_configuration,
     set_data_centres,
@@ -157,9 +158,7 @@
     def _advance(self):
         """Follow the configuration and the list, then take decisions."""
         now_seconds = time.monotonic()
-        configuration = self.context.configuration.current
-        if self.scheduler.configuration is not configuration:
-            set_configuration(self.scheduler, configuration)
+        self._follow_configuration()
         if now_seconds >= self._next_refresh_seconds:
             self._next_refresh_seconds = now_seconds + DECISION_INTERVAL_SECONDS
             self._refresh()
@@ -196,7 +195,12 @@
         return counts
 
     def _decide(self, now_seconds):
-        decisions = self._decide_placements(self.scheduler, now_seconds=now_seconds)
+        is_isolated = self.context.configuration.is_isolated()
+        if is_isolated and self.context.settings.isolated_start_policy == "stop":
+            return
+        decisions = self._decide_placements(
+            self.scheduler, now_seconds=now_seconds, is_isolated=is_isolated
+        )
         for decision in decisions:
             if isinstance(decision, StartGang):
                 self._begin_attempt(decision)
@@ -320,6 +324,23 @@
             else:
                 self.take_in_row(current)
 
+    def _follow_configuration(self):
+        """Use the newest configuration.
+
+        Waiting jobs whose organisation is no longer in the lists are refused.
+        """
+        configuration = self.context.configuration.current
+        if self.scheduler.configuration is configuration:
+            return
+        set_configuration(self.scheduler, configuration)
+        for queued, refused in never_fitting_jobs(self.scheduler):
+            job = self.jobs.get(queued.job_id)
+            if refused.code != "unknown_organisation" or job is None:
+                continue
+            remove_job(self.scheduler, queued.job_id)
+            phase = not_run_phase(job, Phase.REFUSED)
+            self._finish_waiting(job, phase, refused.message)
+
     def _drop_old_answers(self, now_seconds):
         for job_id, job in list(self.jobs.items()):
             is_old = job.final_seconds < now_seconds - FINAL_KEPT_SECONDS
@@ -373,7 +394,7 @@
             return SubmitAnswer(is_accepted=True)
         if self.context.is_out_of_service():
             return SubmitAnswer(is_accepted=False, code="data_centre_out")
-        set_configuration(self.scheduler, self.context.configuration.current)
+        self._follow_configuration()
         if message.attempt:
             # Workers may still run an attempt that no row names.
             self._task_group.start_soon(resolve_handed_over, self, message)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -78,3 +78,22 @@
             if event["event"] == "throttle"
         }
         check.assertEqual(throttled, {greedy_id})
+
+
+def test_waiting_job_of_a_removed_organisation_is_refused():
+    """Guards against a job that waits for ever after its organisation left."""
+    with start_deployment(
+        data_centres=("kumasi",), workers_count=4, entries_count=1
+    ) as deployment:
+        apply_lists(deployment)
+        wait_placers(deployment)
+        entry = deployment.running_entries()[0]
+        whole = {"accelerators_count": 8, "cores_count": 8, "memory_bytes": 1000}
+        running = make_job("running", run_seconds=3.0, tasks_count=4, shape=whole)
+        waiting = make_job("waiting", tasks_count=4, shape=whole, organisation="sales")
+        submit(entry, running)
+        job_id = submit(entry, waiting)[1]["job_id"]
+        apply_lists(deployment, organisations="[organisation design]\nplan = studio\n")
+        answer = wait_final(deployment, entry, job_id)
+        check.assertEqual(answer["outcome"], "not_run", answer)
+        check.assertEqual(effects_of(deployment, job_id), {})
