Refuse jobs of removed organisations after a takeover as well

Cause: a takeover uses the newest configuration before it takes in jobs, so the check at a change of configuration missed them. Change: the check also follows the rebuild.

--- a/kingcuptrack/coordination/placer.py
+++ b/kingcuptrack/coordination/placer.py
@@ -119,6 +119,7 @@
                 context=context, scheduler=self.scheduler, task_group=task_group
             )
             await rebuild(self)
+            self._refuse_orphans()
             for submission in self._kept_submissions:
                 self._submit(submission)
             self._kept_submissions = []
@@ -325,14 +326,14 @@
                 self.take_in_row(current)
 
     def _follow_configuration(self):
-        """Use the newest configuration.
-
-        Waiting jobs whose organisation is no longer in the lists are refused.
-        """
+        """Use the newest configuration."""
         configuration = self.context.configuration.current
-        if self.scheduler.configuration is configuration:
-            return
-        set_configuration(self.scheduler, configuration)
+        if self.scheduler.configuration is not configuration:
+            set_configuration(self.scheduler, configuration)
+            self._refuse_orphans()
+
+    def _refuse_orphans(self):
+        """Refuse waiting jobs whose organisation is no longer in the lists."""
         for queued, refused in never_fitting_jobs(self.scheduler):
             job = self.jobs.get(queued.job_id)
             if refused.code != "unknown_organisation" or job is None:
