Renew only what is due; slow down callers without a placer; check poll periods

Cause: the capacity page shows renewals that repeat details and every gang of a worker, callers that read a row three times a second while no placer answers, and a configuration poll that can make the table look silent. Change: a poll for a gang that started lately renews that gang and those half due; answers to renewals leave details out; the pause of callers grows to 3 s; settings whose poll exceeds half of the isolation timeout are rejected.

--- a/emulator/workers.py
+++ b/emulator/workers.py
@@ -237,7 +237,10 @@
         if gang is None:
             gangs.append(absent_gang(key))
         else:
-            gangs.append(describe_gang(gang, now_seconds))
+            # The page gives details in states only: they may hold a large payload.
+            answer = describe_gang(gang, now_seconds)
+            del answer["details"], answer["shape"]
+            gangs.append(answer)
     return {
         "worker_id": worker.worker_id,
         "incarnation": worker.incarnation,
--- a/kingcuptrack/coordination/front.py
+++ b/kingcuptrack/coordination/front.py
@@ -28,6 +28,7 @@
 
 # Pause before a placer is asked again after a takeover or a lost answer.
 ASK_AGAIN_SECONDS = 0.3
+ASK_AGAIN_LIMIT_SECONDS = 3.0
 
 # Refusals that hold for every request with this body, whenever it was sent.
 CODES_ABOUT_BODY = frozenset({"key_conflict"})
@@ -105,6 +106,7 @@
         """Answer about a job, waiting at most ``wait_seconds`` for its outcome."""
         deadline_seconds = time.monotonic() + wait_seconds
         reply = None
+        pause_seconds = ASK_AGAIN_SECONDS
         while True:
             remaining_seconds = max(0.0, deadline_seconds - time.monotonic())
             reply = await self._read_once(job_id, remaining_seconds)
@@ -113,7 +115,9 @@
                 return reply
             if self.is_stopping.is_set():
                 return reply
-            await anyio.sleep(min(ASK_AGAIN_SECONDS, remaining_seconds))
+            # Growing, since every repetition reads the row while no placer answers.
+            await anyio.sleep(min(pause_seconds, remaining_seconds))
+            pause_seconds = min(2 * pause_seconds, ASK_AGAIN_LIMIT_SECONDS)
 
     async def cancel(self, job_id):
         """Cancel a job; the answer says whether it may have run."""
--- a/kingcuptrack/coordination/gangs.py
+++ b/kingcuptrack/coordination/gangs.py
@@ -56,6 +56,7 @@
     is_job_at_fault: bool = False
     is_checkpoint_wanted: bool = False
     usage_records: dict = attrs.field(factory=dict)
+    polled_seconds: dict = attrs.field(factory=dict)
     changed: anyio.Event = attrs.field(factory=anyio.Event)
 
     @property
--- a/kingcuptrack/coordination/watchers.py
+++ b/kingcuptrack/coordination/watchers.py
@@ -17,6 +17,9 @@
 POLL_FRACTION = 0.15
 POLL_MINIMUM_SECONDS = 0.05
 
+# Part of its poll interval after which a gang joins a request that another one needs.
+BATCH_FRACTION = 0.5
+
 
 class WorkerWatch:
     """Watches the listed workers of the data centre for its placer."""
@@ -117,7 +120,8 @@
             if listed is None and not self._runs.get(worker_id):
                 break
             if runs:
-                is_answered = await self._renew(worker_id, runs)
+                due = self._due_runs(worker_id, runs)
+                is_answered = not due or await self._renew(worker_id, due)
             elif listed is not None:
                 is_answered = await self._read_state(worker_id, listed.address)
             else:
@@ -137,26 +141,48 @@
         runs = self._runs.get(worker_id, {})
         now_seconds = time.monotonic()
         interval_seconds = self._settings.worker_poll_interval_seconds
-        if runs:
-            interval_seconds = self._settings.renewal_interval_seconds
-        elif worker_id not in self._known_workers:
+        if not runs and worker_id not in self._known_workers:
             interval_seconds = min(1.0, interval_seconds)
         for run in runs.values():
-            if run.is_started:
-                running_seconds = now_seconds - run.started_seconds
-                poll_seconds = max(
-                    POLL_MINIMUM_SECONDS, POLL_FRACTION * running_seconds
-                )
-                interval_seconds = min(interval_seconds, poll_seconds)
+            polled_seconds = run.polled_seconds.get(worker_id, now_seconds)
+            due_seconds = polled_seconds + self._poll_interval(run, now_seconds)
+            interval_seconds = min(interval_seconds, due_seconds - now_seconds)
+        interval_seconds = max(POLL_MINIMUM_SECONDS, interval_seconds)
         wakeup = anyio.Event()
         self._wakeups[worker_id] = wakeup
         with anyio.move_on_after(interval_seconds):
             await wakeup.wait()
 
+    def _poll_interval(self, run, now_seconds):
+        """Return the time between two polls of a gang at a worker."""
+        if not run.is_started:
+            return self._settings.renewal_interval_seconds
+        running_seconds = now_seconds - run.started_seconds
+        return min(
+            self._settings.renewal_interval_seconds,
+            max(POLL_MINIMUM_SECONDS, POLL_FRACTION * running_seconds),
+        )
+
+    def _due_runs(self, worker_id, runs):
+        """Return the attempts to renew now.
+
+        One that started lately is polled often; the others join its request only
+        when half of their own interval is over, so that they still share requests.
+        """
+        now_seconds = time.monotonic()
+        return {
+            job_id: run
+            for job_id, run in runs.items()
+            if now_seconds - run.polled_seconds.get(worker_id, float("-inf"))
+            >= BATCH_FRACTION * self._poll_interval(run, now_seconds)
+        }
+
     async def _renew(self, worker_id, runs):
-        """Renew all leases at a worker in one request."""
+        """Renew the leases of some attempts at a worker in one request."""
         address = next(iter(runs.values())).members[worker_id].address
         sent_seconds = time.monotonic()
+        for run in runs.values():
+            run.polled_seconds[worker_id] = sent_seconds
         outcome = await self._context.worker_client.renew(
             address,
             [run.key for run in runs.values()],
--- a/kingcuptrack/settings.py
+++ b/kingcuptrack/settings.py
@@ -291,7 +291,11 @@
         + require_less("lease_margin_seconds", 2, "lease_seconds")
         # One lost heartbeat must not make a live peer look dead.
         + require_less("heartbeat_interval_seconds", 2, "peer_timeout_seconds")
-        # Nor must it make a data centre look isolated.
+        # One lost poll must not make the table look silent.
+        + require_less(
+            "configuration_poll_interval_seconds", 2, "isolation_timeout_seconds"
+        )
+        # Nor must a lost heartbeat make a data centre look isolated.
         + require_less(
             "remote_heartbeat_interval_seconds", 2, "isolation_timeout_seconds"
         )
