--- a/kingcuptrack/coordination/attempts.py
+++ b/kingcuptrack/coordination/attempts.py
@@ -82,10 +82,11 @@
 async def finish_waiting_job(context, job, *, phase, reason):
     """Make a job that holds no worker final; posts the event."""
     row = make_row(job, phase=phase, data_centre=context.data_centre, reason=reason)
-    if not job.row_version and not job.may_have_row:
-        answer = make_answer(row, is_recorded=False)
-        context.mailbox.post(_job_ended(job, answer))
-    answer = await record_until_written(context, job, row)
+    answer, is_written = await record_final(context, job, row)
+    if not is_written and answer is not None:
+        if not job.row_version and not job.may_have_row:
+            context.mailbox.post(_job_ended(job, answer))
+        answer = await record_until_written(context, job, row)
     context.mailbox.post(_job_ended(job, answer))
 
 
@@ -106,7 +107,7 @@
 
 async def _execute(context, watch, job, run):
     if not run.is_started and not run.stop_reason:
-        ended = await _start(context, job, run)
+        ended = await _start(context, watch, job, run)
         if ended is not None:
             return ended
         watch.poll_soon(run)
@@ -131,13 +132,14 @@
     return await _stop(context, job, run, failed_worker_ids=())
 
 
-async def _start(context, job, run):
+async def _start(context, watch, job, run):
     """Reserve, claim and start; return an event if the attempt ended."""
     calls = context.gang_calls
     outcomes = await calls.reserve(run, row_version=job.row_version)
     unreserved_ids = _not_done(outcomes)
     if unreserved_ids:
         refused_ids = _refused(outcomes)
+        watch.note_refusals(outcomes)
         return await _release(
             context,
             job,
