--- a/kingcuptrack/coordination/attempts.py
+++ b/kingcuptrack/coordination/attempts.py
@@ -4,6 +4,7 @@
 ends with the outcome of the job, or without one when no worker holds it any more.
 """
 
+import random
 import time
 
 import anyio
@@ -16,8 +17,11 @@
 from .gangs import gang_progress
 from .open_jobs import GangEnded, JobDropped, JobEnded, make_answer, make_row
 
+# Delays between writes of a final row. While the table is silent the poll of the
+# configuration tests it for all jobs, so an outage costs no write per job.
 RECORD_RETRY_MINIMUM_SECONDS = 0.5
-RECORD_RETRY_MAXIMUM_SECONDS = 10.0
+RECORD_RETRY_MAXIMUM_SECONDS = 4.0
+TABLE_CHECK_SECONDS = 0.5
 
 
 async def run_attempt(context, watch, job, run):
@@ -68,17 +72,21 @@
         answer, is_written = await record_final(context, job, row)
         if is_written or answer is None:
             return answer
-        await anyio.sleep(delay_seconds)
+        # Jitter spreads the writes of jobs that ended during one outage.
+        await anyio.sleep(delay_seconds * random.uniform(0.5, 1.0))
+        while context.configuration.is_table_silent():
+            await anyio.sleep(TABLE_CHECK_SECONDS * random.uniform(0.5, 1.0))
         delay_seconds = min(2 * delay_seconds, RECORD_RETRY_MAXIMUM_SECONDS)
 
 
 async def finish_waiting_job(context, job, *, phase, reason):
     """Make a job that holds no worker final; posts the event."""
     row = make_row(job, phase=phase, data_centre=context.data_centre, reason=reason)
-    if not job.row_version and not job.may_have_row:
-        answer = make_answer(row, is_recorded=False)
-        context.mailbox.post(_job_ended(job, answer))
-    answer = await record_until_written(context, job, row)
+    answer, is_written = await record_final(context, job, row)
+    if not is_written and answer is not None:
+        if not job.row_version and not job.may_have_row:
+            context.mailbox.post(_job_ended(job, answer))
+        answer = await record_until_written(context, job, row)
     context.mailbox.post(_job_ended(job, answer))
 
 
@@ -99,7 +107,7 @@
 
 async def _execute(context, watch, job, run):
     if not run.is_started and not run.stop_reason:
-        ended = await _start(context, job, run)
+        ended = await _start(context, watch, job, run)
         if ended is not None:
             return ended
         watch.poll_soon(run)
@@ -124,13 +132,14 @@
     return await _stop(context, job, run, failed_worker_ids=())
 
 
-async def _start(context, job, run):
+async def _start(context, watch, job, run):
     """Reserve, claim and start; return an event if the attempt ended."""
     calls = context.gang_calls
     outcomes = await calls.reserve(run, row_version=job.row_version)
     unreserved_ids = _not_done(outcomes)
     if unreserved_ids:
         refused_ids = _refused(outcomes)
+        watch.note_refusals(outcomes)
         return await _release(
             context,
             job,
@@ -149,6 +158,15 @@
     reason = _start_refusal(context, run)
     if reason:
         return await _release(context, job, run, reason=reason, is_refused_here=True)
+    leaving_ids = context.membership.leaving_among(run.members)
+    if leaving_ids:
+        return await _release(
+            context,
+            job,
+            run,
+            reason=f"leaving: {', '.join(leaving_ids)}",
+            refused_worker_ids=leaving_ids,
+        )
     # A take-out is acknowledged only once no start decided before it is under way;
     # one that got no answer is, until its worker has acknowledged the stop.
     with context.configuration.starting():
--- a/kingcuptrack/coordination/membership.py
+++ b/kingcuptrack/coordination/membership.py
@@ -172,6 +172,14 @@
         listed = {instance.data_centre for instance in self.listed.values()}
         return listed | self.known_data_centres
 
+    def leaving_among(self, instance_ids):
+        """Return those that the list shows as leaving, in order."""
+        return tuple(
+            instance_id
+            for instance_id in sorted(instance_ids)
+            if instance_id in self.listed and self.listed[instance_id].is_leaving
+        )
+
     def silent_data_centres(self, timeout_seconds):
         """Return the other known data centres not heard from in that time."""
         horizon = time.monotonic() - timeout_seconds
@@ -246,7 +254,10 @@
 
     async def _poll_list(self):
         is_registered = False
+        interval_seconds = self._settings.instances_poll_interval_seconds
         while True:
+            # A slow answer must not add to the interval, since the list lags anyway.
+            next_seconds = anyio.current_time() + interval_seconds
             if not is_registered:
                 outcome = await self.register(is_leaving=False)
                 is_registered = isinstance(outcome, Done)
@@ -256,7 +267,7 @@
             else:
                 logger.debug("instance list not read: {}", outcome)
             self._forget_silent_peers()
-            await anyio.sleep(self._settings.instances_poll_interval_seconds)
+            await anyio.sleep_until(next_seconds)
 
     def _apply_list(self, listed_instances):
         self.listed = {listed.instance_id: listed for listed in listed_instances}
--- a/kingcuptrack/state/scheduling.py
+++ b/kingcuptrack/state/scheduling.py
@@ -215,6 +215,8 @@
     scheduler.is_isolated = is_isolated
     scheduler.reasons.clear()
     _queue_delayed(scheduler, now_seconds)
+    if health_module.release_unprobed(scheduler.health, now_seconds=now_seconds):
+        scheduler.is_dirty = True
     _repair(scheduler)
     if not scheduler.cluster.workers or is_out(scheduler):
         return round_.decisions
@@ -481,7 +483,8 @@
             item.job.spec.organisation,
             task_needs(item.job.spec.shape),
             item.worker_ids,
-            job_id in scheduler.holds or is_reclaimable(item.job.spec),
+            not is_reclaimable(item.job.spec),
+            job_id in scheduler.gangs,
         )
         for job_id, item in (*scheduler.gangs.items(), *scheduler.holds.items())
         if item.is_guaranteed
