Move waiting jobs to data centres with room; make the stop policy strict

Under isolated_start_policy = stop, two data centres cut off together still started work. Ruled out: moving all waiting jobs at once, which floods the data centre since summaries lag.

--- a/kingcuptrack/coordination/claims.py
+++ b/kingcuptrack/coordination/claims.py
@@ -127,9 +127,17 @@
         key = f"{row.data_centre}/{row.job_id}"
         await self._table.delete(OPEN_JOBS_TABLE, key)
 
-    async def move(self, current, data_centre):
-        """Assign a job that is not claimed to another data centre."""
-        row = attrs.evolve(current.row, data_centre=data_centre, phase=Phase.QUEUED)
+    async def move(self, current, data_centre, *, attempt=0):
+        """Assign a job that holds no worker to another data centre.
+
+        ``attempt`` is the newest fencing token used, claimed or not.
+        """
+        row = attrs.evolve(
+            current.row,
+            data_centre=data_centre,
+            phase=Phase.QUEUED,
+            attempt=max(attempt, current.row.attempt),
+        )
         entry = {"job_id": row.job_id}
         key = f"{data_centre}/{row.job_id}"
         outcome = await self._table.write(
--- a/kingcuptrack/coordination/configuration.py
+++ b/kingcuptrack/coordination/configuration.py
@@ -98,10 +98,11 @@
         return silent_seconds >= self._settings.isolation_timeout_seconds
 
     def is_isolated(self):
-        """Whether neither the table nor any other data centre is heard from.
+        """Whether a take-out recorded elsewhere might not be heard of here.
 
-        One other data centre suffices to hear of a take-out, since notices are
-        passed on.
+        Without the table, one other data centre suffices under the policy ``serve``,
+        since notices are passed on. Under ``stop`` all of them are needed: two data
+        centres cut off together would hear each other and nothing else.
         """
         if not self.is_table_silent():
             return False
@@ -110,7 +111,11 @@
         silent = self.membership.silent_data_centres(
             self._settings.isolation_timeout_seconds
         )
-        return known == silent if known else not has_list
+        if not known:
+            return not has_list
+        if self._settings.isolated_start_policy == "stop":
+            return bool(silent)
+        return known == silent
 
     def apply(self, configuration):
         """Use a configuration if it is newer; return whether it was."""
--- a/kingcuptrack/coordination/entry.py
+++ b/kingcuptrack/coordination/entry.py
@@ -116,9 +116,7 @@
             mailbox=self._mailbox,
             metrics=self._metrics,
         )
-        self._placer = Placer(
-            context=context, move_job=self._router.move_job, decide=self._decide
-        )
+        self._placer = Placer(context=context, router=self._router, decide=self._decide)
         self._front = Front(
             settings=settings,
             membership=self._membership,
--- a/kingcuptrack/coordination/open_jobs.py
+++ b/kingcuptrack/coordination/open_jobs.py
@@ -13,14 +13,17 @@
     """A job that a placer holds.
 
     ``row_version`` is 0 while the job is held in memory only; ``may_have_row`` tells
-    whether a row may exist all the same. ``token`` is the newest fencing token used,
-    which may exceed the attempt in the row. ``may_have_run`` covers all attempts.
+    whether a row may exist all the same. ``queued_seconds`` is when the job began to
+    wait anywhere, ``taken_in_seconds`` when it came here. ``token`` is the newest
+    fencing token used, which may exceed the attempt in the row. ``may_have_run``
+    covers all attempts.
     ``is_superseded`` is set when the row turns out to belong to another attempt.
     """
 
     job_id: str
     spec: JobSpec
     queued_seconds: float
+    taken_in_seconds: float = 0.0
     row_version: int = 0
     may_have_row: bool = False
     is_claimed: bool = False
--- a/kingcuptrack/coordination/placer.py
+++ b/kingcuptrack/coordination/placer.py
@@ -5,6 +5,7 @@
 """
 
 import functools
+import itertools
 import time
 import uuid
 
@@ -31,6 +32,7 @@
     add_job,
     capacity_summary,
     decide,
+    exceeds_quota,
     failure_verdict,
     forget_job,
     gang_ended,
@@ -62,6 +64,12 @@
 # Pause before a job is queued again that this data centre may not start now.
 REFUSED_HERE_SECONDS = 0.5
 
+# A job that waited here for so long is moved to a data centre with room, at most one
+# job a period: summaries lag, and a data centre that returns must not be flooded.
+REBALANCE_WAIT_SECONDS = 2.0
+REBALANCE_INTERVAL_SECONDS = 1.0
+REBALANCE_JOBS_COUNT = 16
+
 # Pause after a job could not be moved out of a data centre that leaves.
 MOVE_RETRY_SECONDS = 1.0
 
@@ -72,24 +80,24 @@
     Parameters
     ----------
     context : PlacerContext
-    move_job : callable
-        Coroutine function that moves an `OpenJob` to another data centre; returns
-        whether it did.
+    router : Router
+        Moves waiting jobs to other data centres.
     decide : callable
         Placement policy with the signature of `scheduling.decide`.
     """
 
-    def __init__(self, *, context, move_job, decide=decide):
+    def __init__(self, *, context, router, decide=decide):
         self.context = context
         self.jobs = {}
         self.scheduler = self._new_scheduler()
         self.watch = None
         self.summary = None
-        self._move_job = move_job
+        self._router = router
         self._decide_placements = decide
         self._task_group = None
         self._next_scan_seconds = 0.0
         self._next_refresh_seconds = 0.0
+        self._next_rebalance_seconds = 0.0
         self._drain_seconds = None
         self._moving_job_ids = set()
         self._kept_submissions = []
@@ -173,6 +181,9 @@
         else:
             self._drain_seconds = None
             self._decide(now_seconds)
+            if now_seconds >= self._next_rebalance_seconds:
+                self._next_rebalance_seconds = now_seconds + REBALANCE_INTERVAL_SECONDS
+                self._rebalance(now_seconds)
 
     def _refresh(self):
         """Exchange views with the membership; too costly for every event."""
@@ -242,12 +253,14 @@
 
     # Jobs
 
-    def open_job(self, job_id, spec, *, row_version, token):
+    def open_job(self, job_id, spec, *, row_version, token, waited_seconds=0.0):
         """Hold a job; return its `OpenJob`."""
+        now_seconds = time.monotonic()
         job = OpenJob(
             job_id=job_id,
             spec=spec,
-            queued_seconds=time.monotonic(),
+            queued_seconds=now_seconds - waited_seconds,
+            taken_in_seconds=now_seconds,
             row_version=row_version,
             token=token,
             # Any other job waits again only if it never ran.
@@ -405,6 +418,7 @@
             message.spec,
             row_version=message.row_version,
             token=message.attempt,
+            waited_seconds=message.waited_seconds,
         )
         job.may_have_row = message.may_have_row
         refusal = self.queue_job(job)
@@ -541,12 +555,41 @@
                     "data centre is out of service", is_checkpoint_wanted=True
                 )
 
-    async def _move_away(self, job):
+    def _rebalance(self, now_seconds):
+        """Move one job that waits here to a data centre that can start it now."""
+        if self.context.configuration.is_table_silent():
+            return
+        waiting = (
+            job
+            for job in self.jobs.values()
+            if job.status == "queued"
+            and job.row_version
+            and now_seconds - job.taken_in_seconds >= REBALANCE_WAIT_SECONDS
+            and job.job_id not in self._moving_job_ids
+        )
+        for job in itertools.islice(waiting, REBALANCE_JOBS_COUNT):
+            if exceeds_quota(self.scheduler, job.spec):
+                continue
+            choice = self._router.find_room(job.spec)
+            if choice is None:
+                continue
+            log_decision(
+                "rebalancing",
+                choice=choice,
+                reason=waiting_reason(self.scheduler, job.job_id),
+                job_id=job.job_id,
+                organisation=job.spec.organisation,
+            )
+            self._moving_job_ids.add(job.job_id)
+            self._task_group.start_soon(self._move_away, job, choice)
+            return
+
+    async def _move_away(self, job, data_centre=None):
         try:
             if remove_job(self.scheduler, job.job_id) is None:
                 return
             job.status = "moving"
-            if await self._move_job(job):
+            if await self._router.move_job(job, data_centre=data_centre):
                 self.jobs.pop(job.job_id, None)
                 self._release_waiters(job)
                 return
--- a/kingcuptrack/coordination/routing.py
+++ b/kingcuptrack/coordination/routing.py
@@ -1,5 +1,7 @@
 """Routing of jobs to data centres by compact, lagging capacity summaries."""
 
+import time
+
 import attrs
 
 from ..logs import log_decision
@@ -211,16 +213,40 @@
             current = moved.value
         return outcome, current
 
-    async def move_job(self, job):
+    def find_room(self, spec):
+        """Return another data centre that can start a job now, or None.
+
+        One with waiting jobs is not offered, since its room may be promised to them.
+        """
+        needed_count = spec.tasks_count * spec.shape.accelerators_count
+        own = self._settings.data_centre
+        for candidate in self._candidates_for(spec, {own}):
+            summary = candidate.summary
+            unused = summary.unused_guaranteed_gangs_count_by_organisation
+            has_room = summary.largest_free_gang_accelerators_count >= needed_count
+            has_guarantee = unused.get(spec.organisation, 0) > 0
+            if summary.waiting_jobs_count or not has_room:
+                continue
+            if has_guarantee or is_reclaimable(spec):
+                return candidate.data_centre
+        return None
+
+    async def move_job(self, job, *, data_centre=None):
         """Move a waiting job of a placer to another data centre.
 
+        Parameters
+        ----------
+        job : OpenJob
+        data_centre : str, optional
+            Chosen by the ranking if not given.
+
         Returns
         -------
         bool
             False if it has to stay.
         """
         own = self._settings.data_centre
-        choice = self.choose(job.spec, job.job_id, excluded={own})
+        choice = data_centre or self.choose(job.spec, job.job_id, excluded={own})
         if choice is None:
             return False
         row_version = 0
@@ -228,7 +254,7 @@
             read = await self._job_table.read(job.job_id)
             if not isinstance(read, Done) or read.value is None:
                 return False
-            moved = await self._job_table.move(read.value, choice)
+            moved = await self._job_table.move(read.value, choice, attempt=job.token)
             if not isinstance(moved, Done):
                 return False
             row_version = moved.value.version
@@ -238,6 +264,7 @@
             row_version=row_version,
             may_have_row=job.may_have_row,
             attempt=job.token,
+            waited_seconds=time.monotonic() - job.queued_seconds,
         )
         outcome = await self.submit(choice, message)
         # A recorded job is found by the scan of its new data centre.
--- a/kingcuptrack/coordination/takeover.py
+++ b/kingcuptrack/coordination/takeover.py
@@ -87,6 +87,7 @@
         message.spec,
         row_version=message.row_version,
         token=message.attempt,
+        waited_seconds=message.waited_seconds,
     )
     job.may_have_row = message.may_have_row
     placer.queue_or_refuse(job)
--- a/kingcuptrack/protocol/messages.py
+++ b/kingcuptrack/protocol/messages.py
@@ -53,6 +53,7 @@
     ``row_version`` is the version of the job row, 0 if it is not known to exist;
     ``may_have_row`` is true if its insertion may yet take effect. ``attempt`` is the
     newest fencing token used; a job that had one may have run in part.
+    ``waited_seconds`` is how long the job waited elsewhere, so that it keeps its age.
     """
 
     job_id: str
@@ -60,6 +61,7 @@
     row_version: int
     may_have_row: bool = False
     attempt: int = 0
+    waited_seconds: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/kingcuptrack/settings.py
+++ b/kingcuptrack/settings.py
@@ -282,7 +282,8 @@
         first, second = value_of(smaller), value_of(larger)
         if first is None or second is None or first * factor < second:
             return []
-        message = f"{factor} x {smaller} ({first}) must be less than {larger}"
+        times = f"{factor} x " if factor > 1 else ""
+        message = f"{times}{smaller} ({first}) must be less than {larger}"
         return [Finding(place=place_of(smaller), message=f"{message} ({second})")]
 
     return (
@@ -291,9 +292,9 @@
         + require_less("lease_margin_seconds", 2, "lease_seconds")
         # One lost heartbeat must not make a live peer look dead.
         + require_less("heartbeat_interval_seconds", 2, "peer_timeout_seconds")
-        # One lost poll must not make the table look silent.
+        # The table would look silent between two polls.
         + require_less(
-            "configuration_poll_interval_seconds", 2, "isolation_timeout_seconds"
+            "configuration_poll_interval_seconds", 1, "isolation_timeout_seconds"
         )
         # Nor must a lost heartbeat make a data centre look isolated.
         + require_less(
--- a/kingcuptrack/state/scheduling.py
+++ b/kingcuptrack/state/scheduling.py
@@ -31,7 +31,7 @@
 from .guaranteed import attempt_guaranteed
 from .guarantees import plan_kind, repack, shortfalls, unbind_slot, unused_slots
 from .jobs import Urgency
-from .limits import access_of, is_kept_by_isolation, refusal
+from .limits import access_of, is_kept_by_isolation, quota_excess, refusal
 from .model import (
     CapacitySummary,
     JobHistory,
@@ -74,6 +74,7 @@
     "adopt_gang",
     "capacity_summary",
     "decide",
+    "exceeds_quota",
     "failure_verdict",
     "forget_job",
     "gang_ended",
@@ -344,6 +345,15 @@
     return tuple(sorted(scheduler.health.quarantines))
 
 
+def exceeds_quota(scheduler, spec):
+    """Return whether the quota keeps a job waiting in every data centre."""
+    plan = plan_of(scheduler, spec.organisation)
+    use = scheduler.use.get(spec.organisation)
+    used_count = use.now[ACCELERATORS] if use is not None else 0
+    used_count += scheduler.remote_use.get(spec.organisation, 0)
+    return plan is None or quota_excess(spec, plan, used_count) > 0
+
+
 def waiting_reason(scheduler, job_id):
     """Return why a job waits, or an empty string."""
     job = _find_waiting(scheduler, job_id)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -90,7 +90,7 @@
     context = SimpleNamespace(
         settings=settings, membership=SimpleNamespace(listed={}), data_centre="kumasi"
     )
-    placer = Placer(context=context, move_job=None)
+    placer = Placer(context=context, router=None)
     runs = []
     placer.attach_run = lambda job, run: runs.append((job, run))
     details = {
--- /dev/null
+++ b/tests/test_rebalancing.py
@@ -0,0 +1,39 @@
+"""Waiting jobs move to a data centre that has room."""
+
+from .cases import (
+    apply_lists,
+    check_answer,
+    effects_of,
+    make_job,
+    submit,
+    wait_final,
+    wait_placers,
+)
+from .deployment import start_deployment
+from .support import check, function_tests
+
+load_tests = function_tests(__name__)
+
+WHOLE = {"accelerators_count": 8, "cores_count": 8, "memory_bytes": 1000}
+BUSY_SECONDS = 25.0
+
+
+def test_waiting_job_moves_to_a_data_centre_that_returned():
+    """Guards against a queue beside an empty data centre that came back."""
+    with start_deployment(
+        data_centres=("kumasi", "obuasi"), workers_count=4
+    ) as deployment:
+        apply_lists(deployment)
+        wait_placers(deployment)
+        entry = deployment.running_entries("kumasi")[0]
+        entry.request("POST", "/v1/data-centres/obuasi/out")
+        for number in range(2):
+            busy = make_job(f"busy-{number}", run_seconds=BUSY_SECONDS, shape=WHOLE)
+            submit(entry, busy)
+        waiting = make_job("waiting", shape=WHOLE, is_repeatable=True)
+        job_id = submit(entry, waiting)[1]["job_id"]
+        entry.request("POST", "/v1/data-centres/obuasi/in")
+        # Well before the busy gangs end.
+        answer = wait_final(deployment, entry, job_id, timeout_seconds=BUSY_SECONDS / 2)
+        check_answer(answer, waiting)
+        check.assertEqual(effects_of(deployment, job_id), {0: 1, 1: 1})
