--- a/kingcuptrack/coordination/front.py
+++ b/kingcuptrack/coordination/front.py
@@ -30,6 +30,9 @@
 ASK_AGAIN_SECONDS = 0.3
 ASK_AGAIN_LIMIT_SECONDS = 3.0
 
+# Jobs without a row whose data centre an instance remembers.
+UNRECORDED_LIMIT_COUNT = 10_000
+
 # Refusals that hold for every request with this body, whenever it was sent.
 CODES_ABOUT_BODY = frozenset({"key_conflict"})
 
@@ -257,7 +260,7 @@
         while True:
             data_centre, submitted = await self._offer_unrecorded(message)
             if isinstance(submitted, Done):
-                self._unrecorded[row.job_id] = data_centre
+                self._remember_unrecorded(row.job_id, data_centre)
                 return await self.read(row.job_id, wait_seconds=wait_seconds)
             if isinstance(submitted, Unknown):
                 return _unknown(row.job_id, submitted.message)
@@ -270,6 +273,12 @@
             return _unknown(row.job_id, submitted.message)
         return _not_run(row.job_id, submitted)
 
+    def _remember_unrecorded(self, job_id, data_centre):
+        self._unrecorded[job_id] = data_centre
+        if len(self._unrecorded) > UNRECORDED_LIMIT_COUNT:
+            # Without it, a read asks all placers for the job.
+            del self._unrecorded[next(iter(self._unrecorded))]
+
     async def _offer_unrecorded(self, message):
         """Offer a job without a row to placers; return the last one and its outcome.
 
--- a/kingcuptrack/coordination/placer.py
+++ b/kingcuptrack/coordination/placer.py
@@ -410,6 +410,13 @@
         job.may_have_row = message.may_have_row
         refusal = self.queue_job(job)
         if refusal is not None:
+            log_decision(
+                "admission",
+                choice=None,
+                reason=f"{refusal.code}: {refusal.message}",
+                job_id=message.job_id,
+                organisation=message.spec.organisation,
+            )
             del self.jobs[message.job_id]
             return SubmitAnswer(
                 is_accepted=False,
