--- a/bench/capacity_table.py
+++ b/bench/capacity_table.py
@@ -47,8 +47,6 @@
 # Two packets with data and two acknowledgements of 52 bytes; the proxy counts payload.
 HEADER_BYTES_PER_EXCHANGE = 208.0
 NETWORK_SECONDS = 0.1
-# Details of a gang of one task with a payload of 50 bytes, as encoded in an answer.
-DETAILS_BYTES = 450.0
 # Trial: resident memory of the daemon's imports with and without docutils, which
 # defopt loads to read a docstring.
 DOCUTILS_BYTES = 3.6e6
@@ -88,11 +86,9 @@
 
     ``remote_heartbeat`` is the period towards other data centres, where one end of
     each pair sends. The other fields describe mechanisms: ``has_full_polls`` tells
-    whether polls read rows that did not change, ``has_details`` whether renewal
-    answers repeat the details of each gang, ``polls_all_gangs`` whether a poll after
-    a start renews all gangs of the worker, ``has_status_workers`` whether the status
-    lists all workers, and ``summaries_share`` the part of heartbeats with the counts
-    of organisations.
+    whether polls read rows that did not change, ``has_status_workers`` whether the
+    status lists all workers, and ``summaries_share`` the part of heartbeats with the
+    counts of organisations.
     """
 
     name: str
@@ -103,8 +99,6 @@
     lease: float
     renewal: float
     has_full_polls: bool = True
-    has_details: bool = True
-    polls_all_gangs: bool = True
     has_status_workers: bool = True
     summaries_share: float = 1.0
     saved_bytes: float = 0.0
@@ -150,8 +144,6 @@
     lease=180.0,
     renewal=60.0,
     has_full_polls=False,
-    has_details=False,
-    polls_all_gangs=False,
     has_status_workers=False,
     summaries_share=0.05,
     saved_bytes=DOCUTILS_BYTES,
@@ -224,13 +216,11 @@
     return first_count + growth / math.log(1 + POLL_FRACTION)
 
 
-def renewal_cost(slopes, periods, gangs_count):
+def renewal_cost(slopes, gangs_count):
     """Return processor seconds and bytes of a renewal of some gangs at one worker."""
     details_bytes = slopes.per("bytes_per_renewal_per_worker_of_gang") * (
         TASKS_PER_JOB - 1
     )
-    if not periods.has_details:
-        details_bytes = -DETAILS_BYTES
     return (
         slopes.at("processor_seconds_per_renewal_per_gang", gangs_count),
         slopes.at("bytes_per_renewal_per_gang", gangs_count)
@@ -247,9 +237,9 @@
         return size + HEADER_BYTES_PER_EXCHANGE
 
     centre_placements = PLACEMENTS_PER_DAY / DATA_CENTRES_COUNT / SECONDS_PER_DAY
-    renewal = renewal_cost(slopes, periods, TASKS_PER_WORKER)
-    early_gangs_count = TASKS_PER_WORKER if periods.polls_all_gangs else 1.0
-    early_poll = renewal_cost(slopes, periods, early_gangs_count)
+    renewal = renewal_cost(slopes, TASKS_PER_WORKER)
+    # A poll after a start renews little more than the gang that was started.
+    early_poll = renewal_cost(slopes, 1.0)
     listed_count = LISTED_COUNT if periods.has_full_polls else 0
     organisations_count = ORGANISATIONS_COUNT if periods.has_full_polls else 0
     # An exchange holds the summary of each end that is a placer, as half of them are.
@@ -699,7 +689,8 @@
             value=CENTRE_OPEN_JOBS_COUNT * caller_reads + poll_reads,
             limit=TABLE_READS_LIMIT_PER_SECOND,
             unit="per s",
-            mechanism="repetition every 0.3 s of an open long poll",
+            mechanism="repetition of an open long poll, each 0.3 s at first and 3 s "
+            "later",
         ),
         Row(
             quantity="regions cut off, table reachable: table reads of callers",
@@ -709,8 +700,8 @@
             value=remote_callers_count * caller_reads + poll_reads,
             limit=TABLE_READS_LIMIT_PER_SECOND,
             unit="per s",
-            mechanism="repetition every 0.3 s of an open long poll; needs a "
-            "growing delay",
+            mechanism="repetition of an open long poll, each 0.3 s at first and 3 s "
+            "later",
         ),
         Row(
             quantity="regions heal at once: table writes of outcomes held back",
