Poll a worker of gangs that are being stopped at the idle rate

Cause: since only due attempts are renewed, an attempt that is being stopped kept an old poll time, so its worker was asked for its state every 50 ms until the stop was acknowledged or the lease had lapsed. Ruled out: renewing it, which would keep the lease of an unreachable worker alive. Change: the pause looks at the same attempts as the renewal.

--- a/kingcuptrack/coordination/watchers.py
+++ b/kingcuptrack/coordination/watchers.py
@@ -110,13 +110,7 @@
         failures_count = 0
         while True:
             listed = self._context.membership.listed.get(worker_id)
-            # The lease of a gang that is being stopped has to lapse if its worker does
-            # not acknowledge the stop.
-            runs = {
-                job_id: run
-                for job_id, run in self._runs.get(worker_id, {}).items()
-                if not run.stop_reason
-            }
+            runs = self._renewed_runs(worker_id)
             if listed is None and not self._runs.get(worker_id):
                 break
             if runs:
@@ -138,7 +132,7 @@
             remove_worker(self._scheduler, worker_id)
 
     async def _pause(self, worker_id):
-        runs = self._runs.get(worker_id, {})
+        runs = self._renewed_runs(worker_id)
         now_seconds = time.monotonic()
         interval_seconds = self._settings.worker_poll_interval_seconds
         if not runs and worker_id not in self._known_workers:
@@ -153,6 +147,18 @@
         with anyio.move_on_after(interval_seconds):
             await wakeup.wait()
 
+    def _renewed_runs(self, worker_id):
+        """Return the attempts whose leases are renewed at a worker, by job id.
+
+        The lease of a gang that is being stopped has to lapse if its worker does not
+        acknowledge the stop.
+        """
+        return {
+            job_id: run
+            for job_id, run in self._runs.get(worker_id, {}).items()
+            if not run.stop_reason
+        }
+
     def _poll_interval(self, run, now_seconds):
         """Return the time between two polls of a gang at a worker."""
         if not run.is_started:
