Leave workers that refused a reservation alone when releasing an attempt

Cause: releasing an attempt sent a stop to every member, also to those that had refused the reservation. If another placer held the job there under the same token, its gang was stopped, and a job that may not run twice ended as unknown.

Not covered: two placers that cannot hear each other, of which the second chooses the same workers in its second attempt; its higher token replaces the first gang. The answer is true (unknown), the run is lost.

--- a/kingcuptrack/coordination/attempts.py
+++ b/kingcuptrack/coordination/attempts.py
@@ -145,6 +145,7 @@
             job,
             run,
             reason=f"not reserved at {', '.join(unreserved_ids)}",
+            unheld_ids=refused_ids,
             failed_worker_ids=tuple(sorted(set(unreserved_ids) - set(refused_ids))),
             refused_worker_ids=refused_ids,
         )
@@ -184,9 +185,12 @@
     return None
 
 
-async def _release(context, job, run, *, reason, **fields):
-    """End an attempt that was not started anywhere."""
-    await context.gang_calls.stop(run)
+async def _release(context, job, run, *, reason, unheld_ids=(), **fields):
+    """End an attempt that was not started anywhere.
+
+    Workers in ``unheld_ids`` hold no reservation of it.
+    """
+    await context.gang_calls.stop(run, unheld_ids=unheld_ids)
     if job.is_superseded:
         return JobDropped(job_id=job.job_id, reason=reason)
     await _unclaim(context, job)
--- a/kingcuptrack/coordination/gangs.py
+++ b/kingcuptrack/coordination/gangs.py
@@ -219,9 +219,17 @@
         """Slow the tasks of one member down; a lost request is repeated later."""
         await self._workers.throttle(run.members[worker_id].address, run.key)
 
-    async def stop(self, run):
-        """Stop all members; return when each acknowledged or its lease lapsed."""
-        remaining = dict(run.members)
+    async def stop(self, run, *, unheld_ids=()):
+        """Stop all members; return when each acknowledged or its lease lapsed.
+
+        Members in ``unheld_ids`` are left alone: they refused the reservation, and a
+        stop there would end a gang that another placer holds under the same token.
+        """
+        remaining = {
+            worker_id: member
+            for worker_id, member in run.members.items()
+            if worker_id not in unheld_ids
+        }
 
         async def stop_member(member):
             outcome = await self._workers.stop(member.address, run.key)
--- /dev/null
+++ b/tests/test_two_placers.py
@@ -0,0 +1,93 @@
+"""Two instances of a data centre that cannot hear each other, both placing."""
+
+import contextlib
+import time
+
+from .oracle import job_id_of
+from .shared import new_job, start_judged, wait_event
+from .support import check, function_tests
+
+load_tests = function_tests(__name__)
+
+HOME = "kumasi"
+# Longer than an adoption, shorter than the longest period between two scans.
+LEASE_SECONDS = 4.0
+# Several, since placers race for a part of the jobs only.
+JOBS_COUNT = 10
+
+
+@contextlib.contextmanager
+def start_two_placers():
+    """Run a data centre whose two instances both place; yield oracle and entries."""
+    with start_judged(
+        lease_seconds=LEASE_SECONDS,
+        data_centres=(HOME,),
+        workers_count=8,
+        is_proxied=True,
+    ) as oracle:
+        deployment = oracle.deployment
+        entries = sorted(
+            deployment.running_entries(), key=lambda entry: entry.instance_id
+        )
+        for entry in entries:
+            route = f"{HOME}>{entry.instance_id}"
+            deployment.proxy.send("set", route=route, mode="drop")
+        deployment.wait(lambda: all(map(_is_placer, entries)), "both entries place")
+        yield oracle, entries
+        oracle.settle()
+        oracle.check()
+
+
+def test_placer_adopts_gangs_of_one_that_it_never_heard():
+    """Guards against gangs that lapse since the other placer finds them too late."""
+    with start_two_placers() as (oracle, (first, second)):
+        found = _submit(oracle, first)
+        oracle.deployment.wait(
+            lambda: _adopted(second, found), "a scan finds the first gang"
+        )
+        # Right after a scan, so that the next one is a whole period away.
+        job_id = _submit(oracle, first)
+        first.process.kill()
+        killed_seconds = time.monotonic()
+        oracle.deployment.wait(
+            lambda: _adopted(second, job_id), "the second gang is adopted"
+        )
+        check.assertLess(time.monotonic() - killed_seconds, LEASE_SECONDS)
+        answers = oracle.settle([found, job_id])
+        check.assertEqual(
+            [(answer["outcome"], answer["attempt"]) for answer in answers.values()],
+            [("done", 1), ("done", 1)],
+        )
+
+
+def test_refused_reservation_leaves_the_gang_of_the_other_placer_alone():
+    """Guards against a stop of tasks that another placer holds under one token."""
+    with start_two_placers() as (oracle, entries):
+        for _ in range(JOBS_COUNT):
+            # One at a time, so that both choose the same workers.
+            body = new_job("raced", is_repeatable=False)
+            calls = [oracle.start(oracle.submit, entry, body) for entry in entries]
+            for call in calls:
+                call.result()
+            job_id = job_id_of(body)
+            check.assertEqual(oracle.settle([job_id])[job_id]["outcome"], "done")
+
+
+def _submit(oracle, entry):
+    """Start a job that must not run twice; return its id once all tasks run."""
+    body = new_job("adopted", is_repeatable=False, run_seconds=8.0)
+    oracle.submit(entry, body)
+    wait_event(oracle, job_id_of(body), "task_start", count=2)
+    return job_id_of(body)
+
+
+def _is_placer(entry):
+    lines = [line for line in entry.process.log_text().splitlines() if "placer" in line]
+    return bool(lines) and f"acting as placer of {HOME}" in lines[-1]
+
+
+def _adopted(entry, job_id):
+    return any(
+        "attempt adopted" in line and job_id in line
+        for line in entry.process.log_text().splitlines()
+    )
