Scan for unannounced rows before their leases can lapse

Cause: an acting placer finds rows claimed by one that it never heard of by a scan every 5 s, however short the leases are. With leases of 6 s and a renewal 0.8 s old, the adoption at up to 5 s left no time for the first renewal. The period is now bounded by the time that an unrenewed lease has left; at the default settings it stays 5 s.

--- a/kingcuptrack/coordination/placer.py
+++ b/kingcuptrack/coordination/placer.py
@@ -54,9 +54,13 @@
 # Longest time between two decisions when no event arrives.
 DECISION_INTERVAL_SECONDS = 0.25
 
-# Period in which rows that nobody announced are looked for in the table.
+# Longest period in which rows that nobody announced are looked for in the table.
 SCAN_INTERVAL_SECONDS = 5.0
 
+# Part of the time left to an unrenewed lease that may pass until a scan finds its gang;
+# the rest is for reading the workers and the first renewal.
+SCAN_LEASE_FRACTION = 0.8
+
 # Final answers stay in memory this long for callers that poll.
 FINAL_KEPT_SECONDS = 60.0
 
@@ -64,6 +68,19 @@
 REFUSED_HERE_SECONDS = 0.5
 
 
+def scan_interval_seconds(settings):
+    """Return the period of scans, so that gangs are adopted before they lapse.
+
+    A placer that this one never heard of may have renewed their leases last.
+    """
+    left_seconds = (
+        settings.lease_seconds
+        - settings.renewal_interval_seconds
+        - settings.lease_margin_seconds
+    )
+    return min(SCAN_INTERVAL_SECONDS, SCAN_LEASE_FRACTION * left_seconds)
+
+
 class Placer:
     """State and task of the placer; others talk to it through its mailbox.
 
@@ -161,7 +178,9 @@
             self._next_refresh_seconds = now_seconds + DECISION_INTERVAL_SECONDS
             self._refresh()
         if now_seconds >= self._next_scan_seconds:
-            self._next_scan_seconds = now_seconds + SCAN_INTERVAL_SECONDS
+            self._next_scan_seconds = now_seconds + scan_interval_seconds(
+                self.context.settings
+            )
             self._task_group.start_soon(self._scan_table)
             self._drop_old_answers(now_seconds)
             send_gauges(self.context.metrics, self.scheduler, self.summary)
