Take the remote factor from the platform's settings

Cause: the scheduler assumed that a task takes 3 times as long away from its rack, whatever the deployment's bounds say. The adapter now reads bounds.remote_factor, checks that it is at least 1, and hands it to the board.

--- a/kingcuptrack/coordination/instance.py
+++ b/kingcuptrack/coordination/instance.py
@@ -5,6 +5,7 @@
 
 from ..logs import log_event
 from ..outcomes import Done
+from ..state.board import DEFAULT_REMOTE_FACTOR
 from ..state.planner import DEFAULT_RULES
 from .admissions import Admissions
 from .leadership import Candidate
@@ -23,12 +24,14 @@
     """What an instance has to know.
 
     ``lease_seconds`` is the longest lease of a worker, ``permission_seconds`` how
-    long requests may be answered by an unconfirmed configuration.
+    long requests may be answered by an unconfirmed configuration, ``remote_factor``
+    how many times as long a task takes outside its rack.
     """
 
     instance_id: str
     lease_seconds: float
     permission_seconds: float
+    remote_factor: float = DEFAULT_REMOTE_FACTOR
 
 
 class Instance:
@@ -60,6 +63,7 @@
                 shard=shard,
                 chain=chain,
                 lease_seconds=settings.lease_seconds,
+                remote_factor=settings.remote_factor,
                 metrics=metrics,
                 rules=rules,
             )
--- a/kingcuptrack/coordination/scheduler.py
+++ b/kingcuptrack/coordination/scheduler.py
@@ -53,6 +53,8 @@
     chain : CommitChain
     lease_seconds : float
         Longest lease that workers grant.
+    remote_factor : float
+        How many times as long a task takes outside its rack.
     metrics : Telemetry
     rules : PlanRules
     """
@@ -65,6 +67,7 @@
         shard,
         chain,
         lease_seconds,
+        remote_factor,
         metrics,
         rules=DEFAULT_RULES,
     ):
@@ -72,7 +75,7 @@
         self.workers = environment.workers
         self.operators = environment.operators
         self.clocks = environment.clocks
-        self.board = Board()
+        self.board = Board(remote_factor=remote_factor)
         self._policy_watch = policy_watch
         self._shard = shard
         self._chain = chain
--- a/kingcuptrack/platform/program.py
+++ b/kingcuptrack/platform/program.py
@@ -107,6 +107,7 @@
         settings=InstanceSettings(
             instance_id=settings.instance_id,
             lease_seconds=settings.longest_lease_seconds,
+            remote_factor=settings.remote_factor,
             permission_seconds=PERMISSION_FRACTION * settings.permission_loss_seconds,
         ),
         environment=make_environment(lambda: holder.current.store_url),
--- a/kingcuptrack/platform/settings.py
+++ b/kingcuptrack/platform/settings.py
@@ -6,6 +6,8 @@
 import attrs
 import msgspec
 
+from ..state.board import DEFAULT_REMOTE_FACTOR
+
 # Environment variable with the path of the settings file.
 SETTINGS_VARIABLE = "KINGCUPTRACK_BOOT"
 # Environment variable with the port of the metrics; deploy/system.toml sets it.
@@ -29,7 +31,8 @@
     """What an instance is told; durations in seconds.
 
     ``permission_loss_seconds`` is the bound after which a key that was taken away
-    must not be served any more.
+    must not be served any more, ``remote_factor`` how many times as long a task takes
+    away from the rack of its data or of the rest of its gang.
     """
 
     instance_id: str
@@ -42,6 +45,7 @@
     longest_lease_seconds: float
     stop_seconds: float
     history_seconds: float
+    remote_factor: float
 
 
 # The names of these types are those of the settings file.
@@ -58,6 +62,7 @@
     revoke_ms: float
     max_hold_ms: float  # longest lease that a worker grants
     grace_s: float  # time between SIGTERM and SIGKILL
+    remote_factor: float = DEFAULT_REMOTE_FACTOR
 
 
 @attrs.frozen
@@ -114,6 +119,7 @@
         longest_lease_seconds=decoded.bounds.max_hold_ms / 1000,
         stop_seconds=decoded.bounds.grace_s,
         history_seconds=decoded.platform.history_s,
+        remote_factor=decoded.bounds.remote_factor,
     )
     for name in (
         "permission_loss_seconds",
@@ -123,6 +129,8 @@
     ):
         if getattr(settings, name) <= 0:
             findings.append(f"{name}: must be greater than 0")
+    if settings.remote_factor < 1:
+        findings.append("remote_factor: must be at least 1")
     _parse_address(decoded.platform.address, "platform.address", findings)
     if findings:
         raise SettingsError(f"{file}: " + "; ".join(findings))
--- a/kingcuptrack/state/board.py
+++ b/kingcuptrack/state/board.py
@@ -13,6 +13,9 @@
 from .run_times import RunTimes
 from .steps import NO_RESOURCES, Resources, Submission, TaskRef
 
+# A task takes this many times as long outside its rack, unless the settings say
+# otherwise; the value of the deployments known so far.
+DEFAULT_REMOTE_FACTOR = 3.0
 # A worker whose last ends are failures of this many different jobs is suspected of
 # failing everything. One job alone may be at fault itself.
 SUSPECT_JOBS_COUNT = 2
@@ -135,7 +138,7 @@
     ``remote_factor`` is how many times as long a task takes outside its rack.
     """
 
-    def __init__(self, *, remote_factor=3.0):
+    def __init__(self, *, remote_factor=DEFAULT_REMOTE_FACTOR):
         self.jobs = {}
         self.workers = {}
         self.run_times = RunTimes()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -44,7 +44,12 @@
     "zone": "brum",
     "listen": {"front": "127.0.0.1:8521", "readiness": "127.0.0.1:8523"},
     "port_range": [7000, 7015],
-    "bounds": {"revoke_ms": 5000, "max_hold_ms": 6000, "grace_s": 6},
+    "bounds": {
+        "revoke_ms": 5000,
+        "max_hold_ms": 6000,
+        "grace_s": 6,
+        "remote_factor": 2.5,
+    },
     "platform": {"address": "127.0.0.1:8524", "history_s": 20},
     "a_field_of_next_year": {"nested": True},
 }
@@ -235,13 +240,16 @@
     loaded = parse_settings(json.dumps(SETTINGS).encode(), file="local.json")
     check.assertEqual(loaded.data_centre, "brum")
     check.assertEqual(loaded.longest_lease_seconds, 6.0)
+    check.assertEqual(loaded.remote_factor, 2.5)
     bad = json.loads(json.dumps(SETTINGS))
     bad["listen"]["front"] = "nowhere"
     bad["bounds"]["max_hold_ms"] = 0
+    bad["bounds"]["remote_factor"] = 0.5
     with check.assertRaises(SettingsError) as caught:
         parse_settings(json.dumps(bad).encode(), file="local.json")
     check.assertIn("listen.front", str(caught.exception))
     check.assertIn("longest_lease_seconds", str(caught.exception))
+    check.assertIn("remote_factor", str(caught.exception))
     with check.assertRaises(SettingsError) as caught:
         parse_settings(b'{"node_name": 5}', file="local.json")
     check.assertIn("node_name", str(caught.exception))
