Wake watchers in the placer when a gang is adopted

Adopting is now a method of the placer, which the test replaces as it replaced attach_run; its checks are the same.

--- a/kingcuptrack/coordination/placer.py
+++ b/kingcuptrack/coordination/placer.py
@@ -312,6 +312,14 @@
         )
         self.queue_or_refuse(job)
 
+    def adopt_run(self, job, run):
+        """Attach the attempt of another placer and renew its leases at once.
+
+        Idle workers are polled rarely, and the leases may be about to lapse.
+        """
+        self.attach_run(job, run)
+        self.watch.poll_soon(run)
+
     def attach_run(self, job, run):
         """Start the task of an attempt, new or adopted."""
         job.run = run
--- a/kingcuptrack/coordination/takeover.py
+++ b/kingcuptrack/coordination/takeover.py
@@ -250,9 +250,7 @@
     logger.bind(
         job_id=job.job_id, token=run.key.token, stop_reason=run.stop_reason
     ).info("attempt adopted")
-    placer.attach_run(job, run)
-    # Idle workers are polled rarely; the adopted leases may be about to lapse.
-    placer.watch.poll_soon(run)
+    placer.adopt_run(job, run)
 
 
 async def _fence(gangs, states, call):
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -92,7 +92,7 @@
     )
     placer = Placer(context=context, router=None)
     runs = []
-    placer.attach_run = lambda job, run: runs.append((job, run))
+    placer.adopt_run = lambda job, run: runs.append((job, run))
     details = {
         "spec": json_converter.unstructure(SPEC),
         "worker_ids": ["w2"],
