Play first come, first served without reclaim

The planner's own order places guaranteed work first, so that reclaimed room goes to the job that it was made for; the case is one of the baseline only.

--- a/emulator/experiment.py
+++ b/emulator/experiment.py
@@ -47,7 +47,13 @@
     )
 
 
-NAMED_ORDERS = {"priority": order_by_priority}
+def order_by_arrival(unit, *, is_guaranteed, wall_seconds, expect):
+    """Return the sort key of first come, first served."""
+    submission = unit.job.submission
+    return submission.accepted_at_seconds, submission.job_id, unit.step_number
+
+
+NAMED_ORDERS = {"priority": order_by_priority, "arrival": order_by_arrival}
 
 
 @attrs.frozen(kw_only=True)
@@ -120,6 +126,8 @@
         return NAMED_ORDERS[text]
     if key == "reservations_count":
         return int(text)
+    if key == "is_reclaiming":
+        return {"yes": True, "no": False}[text]
     if key not in {field.name for field in attrs.fields(PlanRules)}:
         raise ValueError("unknown rule")
     return float(text)
--- a/kingcuptrack/state/planner.py
+++ b/kingcuptrack/state/planner.py
@@ -41,6 +41,9 @@
     hurried_share: float = 0.85
     # Work that has to start within this part of its expected time cannot wait any more.
     hurry_factor: float = 1.0
+    # Whether other work is stopped for urgent work. Baselines that ignore urgency must
+    # not: the room would go to older work, and be reclaimed again without end.
+    is_reclaiming: bool = True
 
 
 DEFAULT_RULES = PlanRules()
@@ -255,6 +258,8 @@
 
     def _reclaim(self, unit, want, is_guaranteed, is_patient):
         """Stop other work for an urgent unit; returns whether that makes room."""
+        if not self.rules.is_reclaiming:
+            return False
         victims = find_victims(
             self.board,
             lambda job, run: self._stop_factor(job, run, is_guaranteed),
