Log an unusable registry row once

A row is now logged when its reason changes. test_broken_registry_row_is_logged_once failed before (one line a read).

--- a/kingcuptrack/platform/workers.py
+++ b/kingcuptrack/platform/workers.py
@@ -64,6 +64,8 @@
         Steady clock in seconds.
     """
     clients = {}
+    # Reasons logged of rows that name no usable worker, by worker id.
+    logged_reasons = {}
 
     async def call(entry, path, body, timeout_seconds):
         client = clients.get(entry.address)
@@ -122,8 +124,25 @@
         )
         if not isinstance(outcome, Done):
             return outcome
-        entries = [_decode_entry(row) for row in outcome.value.rows]
-        return Done(value=[entry for entry in entries if entry is not None])
+        entries, reasons = [], {}
+        for row in outcome.value.rows:
+            entry = _decode_entry(row)
+            if isinstance(entry, WorkerEntry):
+                entries.append(entry)
+            else:
+                reasons[row.key.key] = entry
+        # The list is read every second; a row that stays as it is, is logged once.
+        for worker_id in sorted(reasons):
+            if logged_reasons.get(worker_id) != reasons[worker_id]:
+                log_event(
+                    "registry",
+                    outcome="unusable",
+                    worker_id=worker_id,
+                    reason=reasons[worker_id],
+                )
+        logged_reasons.clear()
+        logged_reasons.update(reasons)
+        return Done(value=entries)
 
     return Workers(hold=hold, start=start, stop=stop, list=list_entries)
 
@@ -204,16 +223,16 @@
 
 
 def _decode_entry(row):
-    """Return the `WorkerEntry` of a registry row, or None if it names no worker."""
+    """Return the `WorkerEntry` of a registry row, or why it names no usable worker."""
     worker_id = row.key.key
     try:
         beat = msgspec.json.decode(row.value, type=_Beat)
     except msgspec.MsgspecError as error:
-        log_event("registry", outcome="unreadable", row=worker_id, reason=str(error))
-        return None
-    if beat.state not in _STATES or not beat.labels:
-        log_event("registry", outcome="unusable", row=worker_id, state=beat.state)
-        return None
+        return f"unreadable: {error}"
+    if beat.state not in _STATES:
+        return f"unknown state {beat.state!r}"
+    if not beat.labels:
+        return "no labels, hence no rack"
     return WorkerEntry(
         worker_id=worker_id,
         service=beat.service,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -4,9 +4,11 @@
 import threading
 from contextlib import contextmanager
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from types import SimpleNamespace
 
 import anyio
 from hypothesis import given, settings, strategies as st
+from loguru import logger
 
 from kingcuptrack.coordination.ports import (
     BUSY,
@@ -306,3 +308,46 @@
         check.assertEqual(headers["Target-Instance"], "i-1")
         check.assertEqual(json.loads(sent)["task"], "0123456789abcdef.0.0.4")
         check.assertEqual(json.loads(sent)["deadline_ms"], 8250)
+
+
+def test_broken_registry_row_is_logged_once():
+    """Guards against a log line a second for a row that nobody repairs."""
+    beat = {
+        "service": "studio",
+        "address": "127.0.0.1:1",
+        "zone": "brum",
+        "state": "ready",
+        "capacity": {"cpu": 1000, "mem_mb": 10, "gpu": 1},
+        "labels": ["a", "rack-1"],
+    }
+    rows = {"w1": b"{", "w2": json.dumps(beat).encode()}
+
+    async def read(**_):
+        found = tuple(
+            Row(key=RowKey(table="servers", part="", key=key), version=1, value=value)
+            for key, value in rows.items()
+        )
+        return Done(value=RowsRead(rows=found, version=1))
+
+    workers = make_workers(SimpleNamespace(read=read), lambda: 0.0)
+    lines = []
+    logger.enable("kingcuptrack")
+    sink = logger.add(lambda message: lines.append(message.record["extra"]))
+
+    def list_ids():
+        outcome = anyio.run(lambda: workers.list(timeout_seconds=1.0))
+        return [entry.worker_id for entry in outcome.value]
+
+    try:
+        check.assertEqual([list_ids() for _ in range(3)], [["w2"]] * 3)
+        check.assertEqual(len(lines), 1)
+        check.assertEqual(lines[0]["worker_id"], "w1")
+        rows["w1"] = json.dumps({**beat, "state": "asleep"}).encode()
+        list_ids()
+        rows["w1"] = json.dumps(beat).encode()
+        check.assertEqual(list_ids(), ["w1", "w2"])
+        rows["w1"] = b"{"
+        list_ids()
+    finally:
+        logger.remove(sink)
+    check.assertEqual(len(lines), 3)
