Bound requests to an instance's own placer

Cause: a request that meets the placer in its own process waited without a bound. A cancellation of a job whose end cannot be recorded, while the table is down, was held until the caller gave up (30 s). At another instance's placer the same request ends after its timeout with 'not confirmed; try again'.

This is the old finding of test_one_key (31 to 32 s, else 2 to 8): a trace of every call of that test shows one cancel at the placer's own instance without an answer after 30.04 s, in the minute in which the test took 32 s. It depends on which of the two instances gets the cancel of a job held in memory. Ruled out: submissions (4.9 s at most) and the time to settle.

--- a/kingcuptrack/coordination/routing.py
+++ b/kingcuptrack/coordination/routing.py
@@ -2,6 +2,7 @@
 
 import time
 
+import anyio
 import attrs
 
 from ..logs import log_decision
@@ -147,13 +148,17 @@
         Returns
         -------
         Done, Refused or Unknown
-            Refused with code ``no_placer`` if none is known.
+            Refused with code ``no_placer`` if none is known; Unknown if it has not
+            answered in time.
         """
         placer = self._membership.placer_of(data_centre)
         if placer is None:
             return Refused(code="no_placer", message=data_centre)
         if placer.instance_id == self._settings.instance_id:
-            return Done(value=await self._mailbox.call(message))
+            # A final answer waits for the table, which may be out of reach.
+            with anyio.move_on_after(timeout_seconds):
+                return Done(value=await self._mailbox.call(message))
+            return Unknown(message="the placer has not answered in time")
         return await self._membership.call(
             placer, message, timeout_seconds=timeout_seconds
         )
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -1,6 +1,13 @@
 """Ranking of data centres for a job."""
 
-from kingcuptrack.coordination.routing import Candidate, rank_candidates
+from types import SimpleNamespace
+
+import anyio
+
+from kingcuptrack.coordination.mailbox import Mailbox
+from kingcuptrack.coordination.routing import Candidate, Router, rank_candidates
+from kingcuptrack.outcomes import Unknown
+from kingcuptrack.protocol.messages import CancelJob
 from kingcuptrack.state.jobs import JobSpec
 from kingcuptrack.state.plans import Plan
 from kingcuptrack.state.scheduling import CapacitySummary
@@ -67,3 +74,23 @@
     """Guards against a long queue where a guaranteed gang could be reclaimed."""
     ranked = rank({}, own=(0, 0, 1), far=(0, 0, 9), other=(0, 1, 50))
     check.assertEqual(ranked, ["other", "own", "far"])
+
+
+def test_own_placer_that_does_not_answer():
+    """Guards against a caller held for as long as the table is out of reach."""
+    me = SimpleNamespace(instance_id="a")
+    router = Router(
+        settings=me,
+        membership=SimpleNamespace(placer_of=lambda name: me),
+        configuration=None,
+        job_table=None,
+        mailbox=Mailbox(),
+    )
+
+    async def ask():
+        with anyio.fail_after(2.0):
+            return await router.ask_placer(
+                "kumasi", CancelJob(job_id="job"), timeout_seconds=0.1
+            )
+
+    check.assertIsInstance(anyio.run(ask), Unknown)
