--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -4,12 +4,16 @@
 start, end and answer.
 """
 
+from functools import partial
+from unittest import mock
+
 import anyio
 import attrs
 
 from emulator.cluster import POLICY_KEY
 from kingcuptrack.outcomes import Unknown
 from kingcuptrack.state.progress import FINAL_STATES, JobState
+from kingcuptrack.state.steps import Resources, Step
 
 from . import days
 from .days import play_day
@@ -24,6 +28,9 @@
 RANDOM_SEEDS = range(100, 110)
 # Time that an order takes from its commit to the worker.
 ORDER_SECONDS = 0.5
+# A cut that outlasts the silence limit of a leader, a lease, and a run begun before.
+CUT_SECONDS = 25.0
+LONG_SECONDS = 20.0
 
 
 def _check_day(watch):
@@ -125,6 +132,39 @@
     _check_day(play_day(7, faults))
 
 
+def test_leader_cut_from_store_keeps_workers_of_its_own():
+    """Guards against leases extended for ever by a leader that was replaced.
+
+    Its successor cannot reach those workers, and takes their runs as ended once the
+    earlier leader has been silent for its limit and a lease. No worker of both tells
+    the earlier leader that it was replaced.
+    """
+
+    async def faults(day):
+        await anyio.sleep(5)
+        leader = day.cluster.leader()
+        others = [member for member in day.cluster.members if member is not leader]
+        worker_ids = list(day.cluster.fleet.workers)
+        async with anyio.create_task_group() as cuts:
+            for cut, *ends in (
+                (days.cut_from_store, [leader]),
+                (days.cut_paths, others, worker_ids[::2]),
+                (days.cut_paths, [leader], worker_ids[1::2]),
+            ):
+                cuts.start_soon(partial(cut, day, *ends, seconds=CUT_SECONDS))
+
+    def long_job(rng):
+        step = Step(
+            task_count=rng.randint(1, 4),
+            resources=Resources(cpu_millicores=2800, memory_mb=4100, gpus_count=1),
+            estimate_seconds=LONG_SECONDS,
+        )
+        return "batch", (step,), LONG_SECONDS, 0
+
+    with mock.patch.object(days, "make_job", long_job):
+        _check_day(play_day(14, faults, jobs_count=12, load_seconds=8.0))
+
+
 def test_workers_cut_off_run_on():
     """Guards against a second run beside one that nobody can reach."""
 
