Log fields of a job that mean nothing here

A misspelt field was dropped without a trace. Jobs with unknown fields are still served, since a newer caller may send them; a line names up to 8 of them, 40 characters each.

--- a/kingcuptrack/platform/surface.py
+++ b/kingcuptrack/platform/surface.py
@@ -21,6 +21,10 @@
 DEFAULT_DEADLINE_SECONDS = 3.0
 # Part of the caller's time kept for the answer's way back.
 ANSWER_MARGIN_SECONDS = 0.3
+# Unknown fields named in one log line, which a caller must not be able to blow up.
+UNKNOWN_FIELDS_LIMIT_COUNT = 8
+# Characters of such a name.
+UNKNOWN_FIELD_LIMIT_LENGTH = 40
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 
 _STATUS_OF_CODE = {
@@ -64,6 +68,10 @@
     long_running: bool = False
 
 
+_JOB_FIELDS = frozenset(field.name for field in attrs.fields(_WireJob))
+_STEP_FIELDS = frozenset(field.name for field in attrs.fields(_WireStep))
+
+
 @attrs.frozen(kw_only=True)
 class Answer:
     """An HTTP answer with a JSON body."""
@@ -196,6 +204,11 @@
         job_request = decode_job(request.body)
     except ValueError as error:
         return _error(400, str(error))
+    unknown_fields = find_unknown_fields(request.body)
+    if unknown_fields:
+        log_event(
+            "submission", outcome="fields_ignored", job_id=job_id, fields=unknown_fields
+        )
     outcome = await admissions.submit(
         caller, job_id, job_request, timeout_seconds=request.timeout_seconds
     )
@@ -221,6 +234,22 @@
     )
 
 
+def find_unknown_fields(body):
+    """Return the fields of a decodable job that mean nothing here, at most some.
+
+    They may belong to a newer version of the interface, so that the job is served.
+    """
+    job = msgspec.json.decode(body)
+    names = [name for name in job if name not in _JOB_FIELDS]
+    for number, step in enumerate(job["steps"]):
+        names += [
+            f"steps[{number}].{name}" for name in step if name not in _STEP_FIELDS
+        ]
+    return [
+        name[:UNKNOWN_FIELD_LIMIT_LENGTH] for name in names[:UNKNOWN_FIELDS_LIMIT_COUNT]
+    ]
+
+
 def _decode_step(step, job):
     return Step(
         task_count=step.count,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -28,7 +28,7 @@
 from kingcuptrack.platform.operators import decode_policy
 from kingcuptrack.platform.settings import SettingsError, parse_settings
 from kingcuptrack.platform.store import make_store
-from kingcuptrack.platform.surface import decode_job
+from kingcuptrack.platform.surface import decode_job, find_unknown_fields
 from kingcuptrack.platform.workers import make_workers
 from kingcuptrack.state.reports import WorkerEntry
 from kingcuptrack.state.steps import Resources
@@ -237,6 +237,25 @@
         check.assertTrue(str(error))
 
 
+def test_unknown_fields_of_a_job_are_named():
+    """Guards against a misspelt field that is dropped without a trace."""
+    step = {"count": 1, "gpu": 1}
+    known = {"steps": [step], "spec": "x", "times": 2}
+    check.assertEqual(find_unknown_fields(json.dumps(known).encode()), [])
+    body = {
+        "steps": [step, {**step, "same_rck": True}],
+        "priority": 0,
+        "x" * 5000: 1,
+    }
+    decode_job(json.dumps(body).encode())
+    check.assertEqual(
+        find_unknown_fields(json.dumps(body).encode()),
+        ["priority", "x" * 40, "steps[1].same_rck"],
+    )
+    many = {"steps": [step], **{f"f{n}": n for n in range(1000)}}
+    check.assertEqual(len(find_unknown_fields(json.dumps(many).encode())), 8)
+
+
 def test_settings_are_checked_together():
     """Guards against an instance that starts with unusable settings."""
     loaded = parse_settings(json.dumps(SETTINGS).encode(), file="local.json")
