--- a/tests/test_job_fuzz.py
+++ b/tests/test_job_fuzz.py
@@ -15,7 +15,6 @@
     RuleBasedStateMachine,
     consumes,
     initialize,
-    precondition,
     rule,
 )
 
@@ -173,18 +172,22 @@
         self.deployment.isolate(name)
         self.send_some()
 
-    @precondition(lambda self: len(self.deployment.running_entries()) > 1)
+    # The number of running entries depends on time, so that it must not decide which
+    # rules are drawn: the same seed then gives the same steps.
+
     @rule(number=st.integers(0, 3))
     def kill(self, number):
-        """Kill an entry."""
+        """Kill an entry, unless it is the last one."""
+        if len(self.deployment.running_entries()) <= 1:
+            return
         self.send_some()
         self.entry(number).process.kill()
 
-    @precondition(lambda self: len(self.deployment.running_entries()) < 4)
     @rule(name=st.sampled_from(DATA_CENTRES))
     def start_entry(self, name):
         """Start a replacement, without waiting for it."""
-        self.deployment.start_entry(name)
+        if len(self.deployment.running_entries()) < 4:
+            self.deployment.start_entry(name)
 
     @rule(target=paused, number=st.integers(0, 3))
     def pause(self, number):
@@ -200,10 +203,11 @@
         if entry.process.is_running:
             entry.process.resume()
 
-    @precondition(lambda self: len(self.deployment.running_entries()) > 2)
     @rule(number=st.integers(0, 3))
     def terminate(self, number):
-        """Stop an entry gracefully."""
+        """Stop an entry gracefully, if two others run."""
+        if len(self.deployment.running_entries()) <= 2:
+            return
         entry = self.entry(number)
         # A second signal is a scenario of test_graceful_stop.
         if entry not in self.leaving:
@@ -245,7 +249,8 @@
         derandomize=SEED is None,
         database=None,
         deadline=None,
-        phases=[Phase.generate] if SEED is None else [Phase.generate, Phase.shrink],
+        # Real processes do not repeat a failure step by step, as shrinking would need.
+        phases=[Phase.generate],
         suppress_health_check=list(HealthCheck),
         print_blob=False,
     )
