--- a/kingcuptrack/coordination/configuration.py
+++ b/kingcuptrack/coordination/configuration.py
@@ -22,7 +22,7 @@
 # notice older than these takes the data centre out again, which is the safe side.
 NOTICES_KEPT_COUNT = 256
 
-# Concurrent changes that one change without an expected version gives way to. Of
+# Concurrent changes that one change gives way to, if they leave its version. Of
 # the writers that race, one succeeds in every round.
 CHANGE_TRIES_COUNT = 20
 
