--- a/tests/oracle.py
+++ b/tests/oracle.py
@@ -123,7 +123,14 @@
         except AssertionError as error:
             open_ids = set(job_ids or self.bodies) - set(answers)
             last = [call for call in self.calls if call.job_id in open_ids][-3:]
-            raise AssertionError(f"not final: {open_ids}; {last}\n{error}") from None
+            writes = [
+                event
+                for event in self.deployment.platform_journal()
+                if any(job_id in event["key"] for job_id in open_ids)
+            ]
+            raise AssertionError(
+                f"not final: {open_ids}; {last}\nwrites: {writes}\n{error}"
+            ) from None
         return answers
 
     def check(self):
