List a job held in memory when its claim is recorded

Cause: an urgent repeatable job accepted without the table has no row. If the table answers again by the time of its claim, the claim created the row, but not its entry in the list of open jobs, which takeovers and scans read. When the placer died then, nobody found the row. The log shows the placement 70 ms after the routing decision, no line after it, and takeovers with 0 jobs. The claim of a job without a row now inserts it like an acceptance, entry first.

test_claim_of_a_job_held_in_memory_is_listed failed before (no row listed).

--- a/kingcuptrack/coordination/attempts.py
+++ b/kingcuptrack/coordination/attempts.py
@@ -218,7 +218,11 @@
     if job.spec.is_repeatable and context.configuration.is_table_silent():
         return ""
     row = make_row(job, phase=Phase.CLAIMED, data_centre=context.data_centre, run=run)
-    outcome = await context.job_table.write(row, expected_version=job.row_version)
+    if job.row_version:
+        outcome = await context.job_table.write(row, expected_version=job.row_version)
+    else:
+        # Held in memory so far: a row that is not listed would be found by nobody.
+        outcome = await context.job_table.insert(row)
     if isinstance(outcome, Refused) and outcome.code == "conflict":
         return await _resolve_conflict(context, job, row, outcome.detail)
     if isinstance(outcome, Done):
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -6,8 +6,9 @@
 import anyio
 import attrs
 
-from kingcuptrack.coordination import takeover
+from kingcuptrack.coordination import attempts, takeover
 from kingcuptrack.coordination.claims import JobTable, VersionedJob
+from kingcuptrack.coordination.open_jobs import OpenJob
 from kingcuptrack.coordination.placer import Placer
 from kingcuptrack.outcomes import Done, Refused
 from kingcuptrack.protocol.codecs import json_converter
@@ -15,7 +16,7 @@
 from kingcuptrack.state.jobs import JobRow, JobSpec, Phase
 from kingcuptrack.state.shapes import Shape
 from kingcuptrack.transport.table import Row
-from kingcuptrack.transport.workers import GangState
+from kingcuptrack.transport.workers import GangKey, GangState
 
 from .support import check, function_tests
 
@@ -105,3 +106,53 @@
     check.assertTrue(job.may_have_run)
     check.assertEqual(set(run.members), {"w1", "w2"})
     check.assertTrue(run.stop_reason)
+
+
+class Rows:
+    """Fake of the table client that holds any rows, by table and key."""
+
+    def __init__(self):
+        self.rows = {}
+
+    async def read(self, table, key):
+        return Done(
+            value=self.rows.get((table, key), Row(key=key, version=0, value=None))
+        )
+
+    async def write(self, table, key, value, *, expected_version, **kwargs):
+        version = (await self.read(table, key)).value.version
+        if version != expected_version:
+            return Refused(code="conflict", detail=self.rows[table, key])
+        self.rows[table, key] = Row(key=key, version=version + 1, value=value)
+        return Done(value=version + 1)
+
+    write_surely = write
+
+    async def list_rows(self, table, *, prefix, after):
+        found = sorted(
+            row.key
+            for name, row in self.rows.items()
+            if name[0] == table and row.key.startswith(prefix) and row.key > after
+        )
+        return Done(value=[self.rows[table, key] for key in found])
+
+
+def test_claim_of_a_job_held_in_memory_is_listed():
+    """Guards against an open row that no takeover and no scan can find.
+
+    The table was out of reach when the job was accepted, and answers the claim.
+    """
+    table = JobTable(table=Rows(), objects=None)
+    configuration = SimpleNamespace(is_table_silent=lambda: False)
+    context = SimpleNamespace(
+        job_table=table, configuration=configuration, data_centre="kumasi"
+    )
+    job = OpenJob(job_id="job", spec=SPEC, queued_seconds=0.0)
+    run = SimpleNamespace(
+        key=GangKey(job_id="job", token=1, holder="a"),
+        gang=SimpleNamespace(worker_ids=("w1",)),
+    )
+    check.assertEqual(anyio.run(attempts._claim, context, job, run), "")
+    [current] = anyio.run(table.list_open, "kumasi").value
+    check.assertEqual(current.row.phase, Phase.CLAIMED)
+    check.assertEqual(job.row_version, current.version)
