--- a/kingcuptrack/coordination/scheduler.py
+++ b/kingcuptrack/coordination/scheduler.py
@@ -45,10 +45,25 @@
 LAPSE_CHECK_INTERVAL_SECONDS = 0.2
 # Interval between plans without an event; the waiting time of jobs changes the plan.
 REPLAN_INTERVAL_SECONDS = 0.25
+# Interval between searches for runs that hang, are slow or whose worker leaves.
+RUN_CHECK_INTERVAL_SECONDS = 0.25
+# Largest fraction of the time that planning may take; the rest is left for renewals,
+# orders and polls.
+PLANNING_SHARE = 0.4
 # Fencing tokens of one epoch; a session raises its token to fence unanswered orders.
 TOKENS_PER_EPOCH = 1 << 20
 
 
+def plan_pause_seconds(plan_seconds):
+    """Return the time after a plan in which no further plan is made.
+
+    It keeps planning below `PLANNING_SHARE` of the time, but lasts no longer than
+    `REPLAN_INTERVAL_SECONDS`, so that urgent work does not wait for it.
+    """
+    pause_seconds = plan_seconds * (1 - PLANNING_SHARE) / PLANNING_SHARE
+    return min(pause_seconds, REPLAN_INTERVAL_SECONDS)
+
+
 class Scheduler:
     """Plans runs, commits them and orders workers to start and stop them.
 
@@ -92,6 +107,16 @@
         self._sessions = {}
         self._task_group = None
         self._commit_trigger = anyio.Event()
+        # `ShardState.placement_changes_count` at the last plan, when a plan is due
+        # without a change, and the earliest time of the next plan.
+        self._planned_changes_count = -1
+        self._replan_at_seconds = float("-inf")
+        self._plan_from_seconds = float("-inf")
+        self._check_runs_at_seconds = float("-inf")
+        # Sessions with ends that the worker may not forget yet.
+        self._sessions_with_ends = set()
+        self._planning_policy_key = None
+        self._kept_planning_policy = None
         self._feed_version = 0
         self._stored_counts = None
         self._started_at_seconds = self.clocks.steady()
@@ -130,7 +155,9 @@
         return (
             worker is not None
             and self.may_extend_leases()
-            and is_usable(worker, self._make_policy(), now_seconds=self.clocks.steady())
+            and is_usable(
+                worker, self._planning_policy(), now_seconds=self.clocks.steady()
+            )
         )
 
     def apply_report(self, session, report):
@@ -140,6 +167,7 @@
             if end.number <= session.received_end:
                 continue
             session.received_end = end.number
+            self._sessions_with_ends.add(session)
             self._metrics.count_run_end(end.how)
             log_event(
                 "end",
@@ -152,7 +180,7 @@
             )
         # Runs that the report has made superfluous are stopped at once.
         self._wake_stopping_sessions()
-        self._request_commit()
+        self._request_commit_of_changes()
         return unknown_runs
 
     def confirm_start(self, run, clock_seconds):
@@ -160,7 +188,7 @@
         self.shard_state.confirm_start(run, clock_seconds=clock_seconds)
         if run.is_stopping:
             self._wake_session(run.worker_id)
-        self._request_commit()
+        self._request_commit_of_changes()
 
     def withdraw(self, run):
         """Remove a run whose start order certainly had no effect."""
@@ -283,6 +311,7 @@
                 )
                 for worker_id in list(self.shard_state.workers):
                     self._open_session(worker_id)
+                self._request_commit_of_changes()
             await anyio.sleep(WORKER_LIST_INTERVAL_SECONDS)
 
     def _open_session(self, worker_id):
@@ -340,21 +369,38 @@
             await self._commit_once()
 
     def _commit_wait_seconds(self):
-        return (
-            REPLAN_INTERVAL_SECONDS
-            if self.shard_state.jobs
-            else RENEWAL_INTERVAL_SECONDS
-        )
+        if not self.shard_state.jobs:
+            return RENEWAL_INTERVAL_SECONDS
+        if self._has_placement_changes():
+            plan_at_seconds = self._plan_from_seconds
+        else:
+            plan_at_seconds = self._replan_at_seconds
+        wait_seconds = plan_at_seconds - self.clocks.steady()
+        return min(max(0.0, wait_seconds), REPLAN_INTERVAL_SECONDS)
+
+    def _has_placement_changes(self):
+        changes_count = self.shard_state.placement_changes_count
+        return changes_count != self._planned_changes_count
+
+    def _is_plan_due(self):
+        """Return whether to plan now.
+
+        Events that come while a plan is not allowed yet are planned for together.
+        """
+        now_seconds = self.clocks.steady()
+        if now_seconds < self._plan_from_seconds:
+            return False
+        return self._has_placement_changes() or now_seconds >= self._replan_at_seconds
 
     async def _commit_once(self):
         """Plan and commit; without changes, commit only if a renewal is due."""
-        claims = self._plan()
+        claims = self._plan() if self._is_plan_due() else []
         batch = make_batch(
             self.shard_state,
             claims,
             shard=self._shard,
             closure_key=self.operators.closure_key,
-            sessions=self._sessions.values(),
+            sessions=self._sessions_with_ends,
             stored_counts=self._stored_counts,
             now_seconds=self.clocks.steady(),
         )
@@ -380,14 +426,21 @@
         self._request_commit()
 
     def _plan(self):
+        """Plan once; returns the claimed runs."""
+        started_at_seconds = self.clocks.steady()
         if self._policy_watch.policy is None:
             # Without the configuration, the guarantees are unknown.
+            self._plan_from_seconds = started_at_seconds + REPLAN_INTERVAL_SECONDS
             return []
-        started_at_seconds = self.clocks.steady()
-        self._stop_slow_or_departing_runs(started_at_seconds)
+        if started_at_seconds >= self._check_runs_at_seconds:
+            self._check_runs_at_seconds = (
+                started_at_seconds + RUN_CHECK_INTERVAL_SECONDS
+            )
+            self._stop_slow_or_departing_runs(started_at_seconds)
+        self._planned_changes_count = self.shard_state.placement_changes_count
         plan = make_plan(
             self.shard_state,
-            self._make_policy(),
+            self._planning_policy(),
             now_seconds=started_at_seconds,
             wall_seconds=self.clocks.wall(),
             rules=self._rules,
@@ -395,23 +448,34 @@
         self._log_waits(plan.waits)
         for run, reason in plan.stops:
             self._stop(run, reason)
+        claims = self._claim_groups(plan.groups, started_at_seconds)
+        ended_at_seconds = self.clocks.steady()
+        plan_seconds = ended_at_seconds - started_at_seconds
+        self._plan_from_seconds = ended_at_seconds + plan_pause_seconds(plan_seconds)
+        self._replan_at_seconds = ended_at_seconds + REPLAN_INTERVAL_SECONDS
+        self._metrics.observe("plan", plan_seconds)
+        return claims
+
+    def _claim_groups(self, groups, now_seconds):
+        """Claim the planned groups of as many jobs as one commit may cover."""
         claims = []
         job_ids = set()
-        for group in plan.groups:
+        for group in groups:
             job_ids.add(group[0].ref.job_id)
             if len(job_ids) > JOBS_PER_COMMIT:
+                # The rest is planned again after this commit.
+                self._planned_changes_count = -1
                 break
             for placement in group:
                 run = self.shard_state.claim(
                     placement.ref,
                     placement.worker_id,
                     number=placement.run_number,
-                    now_seconds=started_at_seconds,
+                    now_seconds=now_seconds,
                     is_remote=placement.is_remote,
                 )
                 claims.append(run)
             self._log_placement(group)
-        self._metrics.observe("plan", self.clocks.steady() - started_at_seconds)
         return claims
 
     def _stop_slow_or_departing_runs(self, now_seconds):
@@ -479,6 +543,8 @@
         self._stored_counts = batch.counts
         for session, (end_number, life) in batch.ends.items():
             session.acknowledge(end_number, life)
+            if session.received_end == end_number:
+                self._sessions_with_ends.discard(session)
         for run in batch.claims:
             self._start(run, now_seconds=now_seconds)
         for job_id in batch.job_ids:
@@ -534,16 +600,30 @@
                 log_event("cancel", outcome="noted", job_id=job_id, via="condition")
         self._wake_stopping_sessions()
 
-    def _make_policy(self):
+    def _planning_policy(self):
+        """Return the `PlanningPolicy` of the configuration in force."""
         policy = self._policy_watch.policy
-        guarantee_gpus = {
-            organisation.name: organisation.guarantee_gpus
-            for organisation in (policy.organisations if policy else ())
-        }
-        return PlanningPolicy(
-            guarantee_gpus=guarantee_gpus,
-            closed_data_centres=self._policy_watch.closed_data_centres,
-        )
+        closed_data_centres = self._policy_watch.closed_data_centres
+        key = policy and policy.row_version, closed_data_centres
+        if self._planning_policy_key != key:
+            self._planning_policy_key = key
+            self._kept_planning_policy = PlanningPolicy(
+                guarantee_gpus={
+                    organisation.name: organisation.guarantee_gpus
+                    for organisation in (policy.organisations if policy else ())
+                },
+                closed_data_centres=closed_data_centres,
+            )
+        return self._kept_planning_policy
+
+    def _request_commit_of_changes(self):
+        """Request a commit if there is something to store, or a reason to plan."""
+        if (
+            self.shard_state.dirty_job_ids
+            or self._sessions_with_ends
+            or self._has_placement_changes()
+        ):
+            self._request_commit()
 
     def _request_commit(self):
         self._commit_trigger.set()
@@ -554,6 +634,5 @@
             session.wake()
 
     def _wake_stopping_sessions(self):
-        for worker_id, worker in self.shard_state.workers.items():
-            if any(run.is_stopping for run in worker.runs.values()):
-                self._wake_session(worker_id)
+        for worker_id in sorted(self.shard_state.take_workers_to_stop()):
+            self._wake_session(worker_id)
--- a/kingcuptrack/state/backfill.py
+++ b/kingcuptrack/state/backfill.py
@@ -4,18 +4,27 @@
 free accelerator goes to a small task, and a gang that needs whole workers starves.
 """
 
-from .packing import count_fitting, is_eligible
+from .packing import count_fitting, count_tasks, is_eligible
 
 # Added to the expected ends of runs, since estimates are rough.
 ESTIMATE_MARGIN_SECONDS = 0.3
 
 
-def reserve_slots(unit, requirements, slots, shard_state, *, now_seconds):
+def reserve_slots(unit, requirements, slots, expected_ends, *, now_seconds):
     """Reserve the workers on which a unit is expected to fit first.
 
     Sets ``reserved_at_seconds`` of their slots; work that is expected to end by then
     may still use these slots.
 
+    Parameters
+    ----------
+    unit : SchedulingUnit
+    requirements : TaskRequirements
+    slots : list of Slot
+    expected_ends : callable
+        Returns the (expected end, resources) of the runs of a worker.
+    now_seconds : float
+
     Returns
     -------
     float or None
@@ -25,7 +34,7 @@
     for slot in slots:
         if is_eligible(slot, requirements):
             ready += _ready_times(
-                slot, requirements, shard_state, len(unit.indexes), now_seconds
+                slot, requirements, expected_ends, len(unit.indexes), now_seconds
             )
     if unit.step.same_rack:
         ready = _earliest_rack(ready, len(unit.indexes))
@@ -44,20 +53,24 @@
     return slot.reserved_at_seconds is None or end_seconds <= slot.reserved_at_seconds
 
 
-def _ready_times(slot, requirements, shard_state, tasks_count, now_seconds):
+def _ready_times(slot, requirements, expected_ends, tasks_count, now_seconds):
     """Return (time, slot) for each task that fits on the worker, by time."""
-    trial = slot.copy()
-    times = [(now_seconds, slot)] * count_fitting(trial, requirements, tasks_count)
-    worker = shard_state.workers[slot.worker_id]
-    ends = [
-        (shard_state.expected_end_seconds(run, now_seconds), run.resources)
-        for run in worker.runs.values()
-    ]
-    ends += slot.planned_tasks
-    for end_seconds, resources in sorted(ends, key=lambda item: item[0]):
-        trial.free = trial.free.plus(resources)
-        fitting = count_fitting(trial, requirements, tasks_count)
-        while len(times) < fitting:
+    limit_count = tasks_count
+    if requirements.tasks_per_worker_limit:
+        taken_count = slot.step_counts.get(requirements.step_key, 0)
+        limit_count = min(
+            limit_count, requirements.tasks_per_worker_limit - taken_count
+        )
+    times = [(now_seconds, slot)] * count_fitting(slot, requirements, tasks_count)
+    free = slot.free
+    ends = [*expected_ends(slot.worker_id), *slot.planned_tasks]
+    ends.sort(key=lambda item: item[0])
+    for end_seconds, resources in ends:
+        if len(times) >= limit_count:
+            break
+        free = free.plus(resources)
+        fitting_count = count_tasks(free, requirements.demand, limit_count)
+        while len(times) < fitting_count:
             times.append((end_seconds + ESTIMATE_MARGIN_SECONDS, slot))
     return times
 
--- a/kingcuptrack/state/packing.py
+++ b/kingcuptrack/state/packing.py
@@ -26,23 +26,49 @@
     reserved_at_seconds: float | None = None
     planned_tasks: list = attrs.field(factory=list)
 
-    def copy(self):
-        """Return a copy whose changes leave this slot as it is."""
-        return attrs.evolve(
-            self,
-            step_counts=dict(self.step_counts),
-            planned_tasks=list(self.planned_tasks),
-        )
 
-    def count_fitting_tasks(self, demand, limit_count):
-        """Return how many tasks of this demand fit, at most the limit."""
-        counts = [limit_count]
-        for free, needed in zip(
-            attrs.astuple(self.free), attrs.astuple(demand), strict=True
-        ):
-            if needed > 0:
-                counts.append(max(free, 0) // needed)
-        return max(0, min(counts))
+class SlotPool:
+    """The slots of one planning pass, with indexes that keep searches short.
+
+    ``slots`` lists all of them, ``by_rack`` those of each rack. Tasks are deducted with
+    `allocate` only, which keeps the indexes up to date.
+    """
+
+    def __init__(self, slots):
+        self.slots = slots
+        self.by_rack = {}
+        self._workers_by_free_gpus = {}
+        for slot in slots:
+            self.by_rack.setdefault(slot.rack, []).append(slot)
+            self._count_free_gpus(slot, 1)
+
+    def most_fitting(self, gpus_count, limit_count):
+        """Return an upper bound of the tasks that fit, by their accelerators alone."""
+        if not gpus_count:
+            return limit_count
+        total_count = sum(
+            workers_count * (free_count // gpus_count)
+            for free_count, workers_count in self._workers_by_free_gpus.items()
+        )
+        return min(limit_count, total_count)
+
+    def allocate(self, slots, requirements, *, end_seconds=None):
+        """Deduct a task from each of ``slots``, until the expected end if given."""
+        for slot in slots:
+            if end_seconds is not None:
+                slot.planned_tasks.append((end_seconds, requirements.demand))
+            self._count_free_gpus(slot, -1)
+            slot.free = slot.free.minus(requirements.demand)
+            self._count_free_gpus(slot, 1)
+            slot.step_counts[requirements.step_key] = (
+                slot.step_counts.get(requirements.step_key, 0) + 1
+            )
+
+    def _count_free_gpus(self, slot, change):
+        free_count = max(0, slot.free.gpus_count)
+        self._workers_by_free_gpus[free_count] = (
+            self._workers_by_free_gpus.get(free_count, 0) + change
+        )
 
 
 @attrs.frozen(kw_only=True)
@@ -77,7 +103,19 @@
         limit_count = min(
             limit_count, requirements.tasks_per_worker_limit - taken_count
         )
-    return slot.count_fitting_tasks(requirements.demand, max(0, limit_count))
+    return count_tasks(slot.free, requirements.demand, limit_count)
+
+
+def count_tasks(free, demand, limit_count):
+    """Return how many tasks of a demand fit into free resources, at most the limit."""
+    count = limit_count
+    if demand.gpus_count:
+        count = min(count, free.gpus_count // demand.gpus_count)
+    if demand.memory_mb:
+        count = min(count, free.memory_mb // demand.memory_mb)
+    if demand.cpu_millicores:
+        count = min(count, free.cpu_millicores // demand.cpu_millicores)
+    return max(0, count)
 
 
 def choose_slots(slots, requirements, tasks_count):
@@ -92,7 +130,10 @@
         One entry for each task placed; may be shorter than ``tasks_count``.
     """
     fitting = []
+    gpus_count = requirements.demand.gpus_count
     for slot in slots:
+        if gpus_count and slot.free.gpus_count < gpus_count:
+            continue
         count = count_fitting(slot, requirements, tasks_count)
         if count:
             fitting.append((slot, count))
@@ -130,14 +171,3 @@
         if best_left is None or left < best_left:
             best, best_left = chosen, left
     return best
-
-
-def allocate(slots, requirements, *, end_seconds=None):
-    """Deduct one task from each entry of ``slots``, until the expected end if given."""
-    for slot in slots:
-        if end_seconds is not None:
-            slot.planned_tasks.append((end_seconds, requirements.demand))
-        slot.free = slot.free.minus(requirements.demand)
-        slot.step_counts[requirements.step_key] = (
-            slot.step_counts.get(requirements.step_key, 0) + 1
-        )
--- a/kingcuptrack/state/planner.py
+++ b/kingcuptrack/state/planner.py
@@ -8,11 +8,10 @@
 
 from .backfill import ends_before_reservation, reserve_slots
 from .ordering import GUARANTEED_PRIORITY, order_key, slack_seconds
-from .packing import allocate, choose_rack, choose_slots
+from .packing import SlotPool, choose_rack, choose_slots
 from .scheduling_units import (
     PlanningPolicy,
     find_ready_units,
-    is_usable,
     make_requirements,
     make_slots,
 )
@@ -113,7 +112,9 @@
         rules=rules,
         now_seconds=now_seconds,
         wall_seconds=wall_seconds,
-        slots=make_slots(shard_state, policy, now_seconds=now_seconds),
+        pool=SlotPool(make_slots(shard_state, policy, now_seconds=now_seconds)),
+        urgent_gpus=dict(shard_state.urgent_gpus),
+        other_gpus_count=shard_state.other_gpus_count,
     )
     guaranteed = planning_pass.find_guaranteed(units)
     units.sort(
@@ -142,28 +143,28 @@
     rules: PlanRules
     now_seconds: float
     wall_seconds: float
-    slots: list
+    pool: SlotPool
+    # Accelerators that runs of urgent jobs use, by organisation; runs that this pass
+    # stops are deducted.
+    urgent_gpus: dict
+    # Accelerators that other runs use, with those placed by this pass.
+    other_gpus_count: int
     groups: list = attrs.field(factory=list)
     stops: list = attrs.field(factory=list)
     waits: list = attrs.field(factory=list)
     _planned_stops: set = attrs.field(factory=set, init=False)
     _reservations_count: int = attrs.field(default=0, init=False)
-    # Accelerators that runs of urgent jobs use, by organisation; runs that this pass
-    # stops are deducted.
-    _urgent_gpus: dict = attrs.field(factory=dict, init=False)
-    # Accelerators that other runs use; None until they are counted.
-    _non_urgent_gpus: int | None = attrs.field(default=None, init=False)
+    # Results that stay valid during the pass: expected run times by queue and estimate,
+    # expected ends of runs by worker, and the accelerators of all usable workers.
+    _expected_seconds_by_key: dict = attrs.field(factory=dict, init=False)
+    _expected_ends_by_worker: dict = attrs.field(factory=dict, init=False)
+    _usable_gpus_count: int | None = attrs.field(default=None, init=False)
+    # Victims by whether guaranteed work needs them; cleared when runs are stopped.
+    _victims: dict = attrs.field(factory=dict, init=False)
 
     def find_guaranteed(self, units):
-        """Return the urgent units within the guarantees; older jobs take precedence.
-
-        Also counts the accelerators that running urgent work uses.
-        """
-        for job in self.shard_state.jobs.values():
-            if job.submission.priority == GUARANTEED_PRIORITY:
-                gpus_count = sum(run.resources.gpus_count for run in job.runs.values())
-                self._add_urgent_gpus(job.submission.organisation, gpus_count)
-        promised = dict(self._urgent_gpus)
+        """Return the urgent units within the guarantees; older jobs take precedence."""
+        promised = dict(self.urgent_gpus)
         guaranteed = set()
         urgent = [unit for unit in units if unit.priority == GUARANTEED_PRIORITY]
         urgent.sort(key=lambda unit: unit.job.submission.accepted_at_seconds)
@@ -179,11 +180,15 @@
         """Place a unit, make room for it, or record why it waits."""
         requirements = make_requirements(unit)
         is_near_only = self._is_limited_to_near_workers(unit, is_guaranteed)
-        slots = self._usable_slots(unit)
-        chosen = _choose_unit_slots(
-            unit, slots, requirements, is_near_only=is_near_only
-        )
-        is_complete = len(chosen) == len(unit.indexes)
+        tasks_count = len(unit.indexes)
+        most_count = self.pool.most_fitting(unit.step.resources.gpus_count, tasks_count)
+        if most_count == 0 or (unit.step.is_gang and most_count < tasks_count):
+            # Not even the accelerators suffice, so that no search is needed.
+            chosen, fitting_count = [], most_count
+        else:
+            chosen = self._choose_unit_slots(unit, requirements, is_near_only)
+            fitting_count = len(chosen)
+        is_complete = fitting_count == tasks_count
         if unit.priority == GUARANTEED_PRIORITY:
             if not is_complete and self._make_room(
                 unit, requirements, is_guaranteed, is_near_only
@@ -192,34 +197,34 @@
                 return
         else:
             chosen = self._limit_non_urgent(unit, chosen)
-        if unit.step.is_gang and len(chosen) < len(unit.indexes):
-            self._record_wait(unit, chosen, is_complete, is_near_only)
-            if not is_complete:
-                self._reserve(unit, requirements)
+        is_whole = len(chosen) == tasks_count
+        if is_whole or not unit.step.is_gang:
+            self._place(unit, requirements, chosen)
+        if not is_whole:
+            self._record_wait(unit, fitting_count, is_complete, is_near_only)
+        if unit.step.is_gang and not is_complete:
+            self._reserve(unit, requirements)
+
+    def _place(self, unit, requirements, chosen):
+        if not chosen:
             return
-        if chosen:
-            allocate(
-                chosen,
-                requirements,
-                end_seconds=self.now_seconds + self._expected_seconds(unit),
-            )
-            self.groups.append(_make_group(unit, chosen))
-            if unit.priority != GUARANTEED_PRIORITY:
-                gpus_count = unit.step.resources.gpus_count
-                self._non_urgent_gpus = (
-                    self._count_non_urgent_gpus() + gpus_count * len(chosen)
-                )
-        if len(chosen) < len(unit.indexes):
-            self._record_wait(unit, chosen, is_complete, is_near_only)
+        self.pool.allocate(
+            chosen,
+            requirements,
+            end_seconds=self.now_seconds + self._expected_seconds(unit),
+        )
+        self.groups.append(_make_group(unit, chosen))
+        if unit.priority != GUARANTEED_PRIORITY:
+            self.other_gpus_count += unit.step.resources.gpus_count * len(chosen)
 
-    def _record_wait(self, unit, chosen, is_complete, is_near_only):
+    def _record_wait(self, unit, fitting_count, is_complete, is_near_only):
         if is_complete:
             reason = "work without urgency occupies its share"
         elif is_near_only and (unit.step.same_rack or unit.step.data_rack):
             reason = "no room in its rack yet"
         else:
             reason = "no room"
-        placed = f"{len(chosen)} of {len(unit.indexes)} tasks fit"
+        placed = f"{fitting_count} of {len(unit.indexes)} tasks fit"
         self.waits.append((unit, f"{reason}, {placed}"))
 
     def _limit_non_urgent(self, unit, chosen):
@@ -228,7 +233,7 @@
         A gang gets all of its slots or none.
         """
         gpus_count = unit.step.resources.gpus_count
-        if not gpus_count:
+        if not gpus_count or not chosen:
             return chosen
         expected_seconds = self._expected_seconds(unit)
         slack = slack_seconds(unit, self.wall_seconds, self.run_time_estimator(unit))
@@ -238,44 +243,65 @@
         if unit.step.is_gang and room_count < len(chosen):
             # A gang larger than the share may start only when no other work without
             # urgency runs; otherwise it would never start.
-            return chosen if not self._count_non_urgent_gpus() else []
+            return chosen if not self.other_gpus_count else []
         return chosen[:room_count]
 
     def _non_urgent_gpus_left(self, share):
-        total_gpus = sum(
-            worker.entry.capacity.gpus_count
-            for worker in self.shard_state.workers.values()
-            if is_usable(worker, self.policy, now_seconds=self.now_seconds)
-        )
-        return int(share * total_gpus) - self._count_non_urgent_gpus()
-
-    def _count_non_urgent_gpus(self):
-        if self._non_urgent_gpus is None:
-            self._non_urgent_gpus = sum(
-                run.resources.gpus_count
-                for worker in self.shard_state.workers.values()
-                for run in worker.runs.values()
-                if run.priority > GUARANTEED_PRIORITY
+        if self._usable_gpus_count is None:
+            self._usable_gpus_count = sum(
+                self.shard_state.workers[slot.worker_id].entry.capacity.gpus_count
+                for slot in self.pool.slots
             )
-        return self._non_urgent_gpus
+        return int(share * self._usable_gpus_count) - self.other_gpus_count
 
     def run_time_estimator(self, unit):
         """Return a function from a step of the unit's job to its expected run time."""
         queue = unit.job.submission.queue
-        run_times = self.shard_state.run_times
-        return lambda step: run_times.expect_seconds(queue, step.estimate_seconds)
+
+        def expect(step):
+            key = queue, step.estimate_seconds
+            seconds = self._expected_seconds_by_key.get(key)
+            if seconds is None:
+                seconds = self.shard_state.run_times.expect_seconds(*key)
+                self._expected_seconds_by_key[key] = seconds
+            return seconds
+
+        return expect
 
     def _expected_seconds(self, unit):
         return self.run_time_estimator(unit)(unit.step)
 
-    def _usable_slots(self, unit):
-        """Return the slots where the unit does not delay a reserved gang."""
+    def _expected_ends(self, worker_id):
+        """Return the (expected end, resources) of the runs of a worker."""
+        ends = self._expected_ends_by_worker.get(worker_id)
+        if ends is None:
+            ends = self._expected_ends_by_worker[worker_id] = [
+                (
+                    self.shard_state.expected_end_seconds(run, self.now_seconds),
+                    run.resources,
+                )
+                for run in self.shard_state.workers[worker_id].runs.values()
+            ]
+        return ends
+
+    def _choose_unit_slots(self, unit, requirements, is_near_only):
+        """Return slots for as many tasks as fit without delaying a reserved gang."""
         end_seconds = self.now_seconds + self._expected_seconds(unit)
-        return [
-            slot
-            for slot in self.slots
-            if ends_before_reservation(slot, end_seconds=end_seconds)
-        ]
+        searches = _list_searches(unit, self.pool, is_near_only)
+        chosen = []
+        for slots, same_rack, _ in searches:
+            if self._reservations_count:
+                slots = [
+                    slot
+                    for slot in slots
+                    if ends_before_reservation(slot, end_seconds=end_seconds)
+                ]
+            choose = choose_rack if same_rack else choose_slots
+            chosen = choose(slots, requirements, len(unit.indexes))
+            is_limited = is_near_only and unit.step.data_rack
+            if len(chosen) == len(unit.indexes) or is_limited:
+                break
+        return chosen
 
     def _is_limited_to_near_workers(self, unit, is_guaranteed):
         """Return whether a unit with a preferred rack may be placed only there yet."""
@@ -292,8 +318,8 @@
         begin_seconds = reserve_slots(
             unit,
             requirements,
-            self.slots,
-            self.shard_state,
+            self.pool.slots,
+            self._expected_ends,
             now_seconds=self.now_seconds,
         )
         if begin_seconds is not None:
@@ -307,11 +333,7 @@
         """
         if not self.rules.is_reclaiming:
             return False
-        victims = find_victims(
-            self.shard_state,
-            lambda job, run: self._stop_cost_factor(job, run, is_guaranteed),
-            self.now_seconds,
-        )
+        victims = self._find_victims(is_guaranteed)
         own_core_seconds = weighted_cores(unit.step.resources) * len(unit.indexes)
         own_core_seconds *= self._expected_seconds(unit)
         reclaim = self._cheapest_reclaim(
@@ -330,15 +352,30 @@
         self._stop_victims(unit, reclaim, requirements)
         return True
 
+    def _find_victims(self, is_guaranteed):
+        if is_guaranteed not in self._victims:
+            self._victims[is_guaranteed] = find_victims(
+                self.shard_state,
+                lambda job, run: self._stop_cost_factor(job, run, is_guaranteed),
+                self.now_seconds,
+            )
+        return self._victims[is_guaranteed]
+
     def _cheapest_reclaim(
         self, unit, requirements, victims, own_core_seconds, is_near_only
     ):
         best, best_cost = None, 0.0
+        offers = {}
         for slots, same_rack, is_remote in _list_searches(
-            unit, self.slots, is_near_only
+            unit, self.pool, is_near_only
         ):
             reclaim = choose_reclaim(
-                slots, victims, requirements, len(unit.indexes), same_rack=same_rack
+                slots,
+                victims,
+                requirements,
+                len(unit.indexes),
+                same_rack=same_rack,
+                offers=offers,
             )
             if reclaim is None:
                 continue
@@ -375,10 +412,11 @@
             return 1.0
         organisation = job.submission.organisation
         limit = self.policy.guarantee_gpus.get(organisation, 0)
-        is_borrowed = self._urgent_gpus.get(organisation, 0) > limit
+        is_borrowed = self.urgent_gpus.get(organisation, 0) > limit
         return BORROWED_URGENT_COST_FACTOR if is_guaranteed and is_borrowed else 0.0
 
     def _stop_victims(self, unit, reclaim, requirements):
+        self._victims.clear()
         for run in reclaim.runs:
             if run in self._planned_stops:
                 continue
@@ -391,45 +429,29 @@
                 reason = f"reclaimed for urgent job {unit.job.submission.job_id}"
                 self.stops.append((run, reason))
         # Other units must not be placed in this room while the stopped runs end.
-        allocate(reclaim.slots, requirements)
+        self.pool.allocate(reclaim.slots, requirements)
 
     def _add_urgent_gpus(self, organisation, gpus_count):
-        self._urgent_gpus[organisation] = (
-            self._urgent_gpus.get(organisation, 0) + gpus_count
+        self.urgent_gpus[organisation] = (
+            self.urgent_gpus.get(organisation, 0) + gpus_count
         )
 
 
-def _list_searches(unit, slots, is_near_only):
+def _list_searches(unit, pool, is_near_only):
     """Return the searches for room, as (slots, same_rack, is_remote)."""
     searches = []
     if unit.step.data_rack:
-        near = [slot for slot in slots if slot.rack == unit.step.data_rack]
+        near = pool.by_rack.get(unit.step.data_rack, [])
         searches.append((near, False, False))
     if unit.step.same_rack:
-        searches.append((slots, True, False))
+        searches.append((pool.slots, True, False))
     if not searches:
-        searches.append((slots, False, False))
+        searches.append((pool.slots, False, False))
     elif not is_near_only:
-        searches.append((slots, False, True))
+        searches.append((pool.slots, False, True))
     return searches
 
 
-def _choose_unit_slots(unit, slots, requirements, *, is_near_only):
-    """Return slots for as many tasks of a unit as fit."""
-    tasks_count = len(unit.indexes)
-    step = unit.step
-    if step.data_rack:
-        near = [slot for slot in slots if slot.rack == step.data_rack]
-        chosen = choose_slots(near, requirements, tasks_count)
-        if len(chosen) == tasks_count or is_near_only:
-            return chosen
-    if step.same_rack:
-        chosen = choose_rack(slots, requirements, tasks_count)
-        if chosen or is_near_only:
-            return chosen
-    return choose_slots(slots, requirements, tasks_count)
-
-
 def _make_group(unit, chosen):
     """Return the placements of a unit; the members of a gang share a run number."""
     steps = unit.job.progress.occurrences[unit.occurrence]
--- a/kingcuptrack/state/scheduling_units.py
+++ b/kingcuptrack/state/scheduling_units.py
@@ -52,16 +52,26 @@
     for job in shard_state.jobs.values():
         if job.progress.is_final or job.is_cancelled:
             continue
-        submission = job.submission
-        for occurrence in range(submission.occurrences_count):
-            if occurrence in job.progress.done_occurrences:
-                continue
-            if submission.due_at_seconds(occurrence) > wall_seconds:
-                break
-            units += _ready_steps(job, occurrence)
+        if job.submission.is_timed:
+            # Time makes occurrences due, and their progress is created only then.
+            units += _due_units(job, wall_seconds)
+            continue
+        if job.ready_units is None:
+            job.ready_units = tuple(_due_units(job, wall_seconds))
+        units += job.ready_units
     return units
 
 
+def _due_units(job, wall_seconds):
+    submission = job.submission
+    for occurrence in range(submission.occurrences_count):
+        if occurrence in job.progress.done_occurrences:
+            continue
+        if submission.due_at_seconds(occurrence) > wall_seconds:
+            break
+        yield from _ready_steps(job, occurrence)
+
+
 def _ready_steps(job, occurrence):
     steps = job.progress.steps_of(occurrence, job.submission)
     for number, step in enumerate(job.submission.steps):
@@ -91,26 +101,19 @@
 
 def make_slots(shard_state, policy, *, now_seconds):
     """Return a slot with the free capacity of each worker that may get new work."""
-    slots = []
-    for worker in shard_state.workers.values():
-        if not is_usable(worker, policy, now_seconds=now_seconds):
-            continue
-        step_counts = {}
-        for run in worker.runs.values():
-            key = run.ref.job_id, run.ref.occurrence, run.ref.step
-            step_counts[key] = step_counts.get(key, 0) + 1
-        slots.append(
-            Slot(
-                worker_id=worker.worker_id,
-                data_centre=worker.entry.data_centre,
-                rack=worker.entry.rack,
-                service=worker.entry.service,
-                labels=worker.entry.labels,
-                free=worker.free,
-                step_counts=step_counts,
-            )
+    return [
+        Slot(
+            worker_id=worker.worker_id,
+            data_centre=worker.entry.data_centre,
+            rack=worker.entry.rack,
+            service=worker.entry.service,
+            labels=worker.entry.labels,
+            free=worker.free,
+            step_counts=dict(worker.step_counts),
         )
-    return slots
+        for worker in shard_state.workers.values()
+        if is_usable(worker, policy, now_seconds=now_seconds)
+    ]
 
 
 def is_usable(worker, policy, *, now_seconds):
--- a/kingcuptrack/state/shard_state.py
+++ b/kingcuptrack/state/shard_state.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from .ordering import GUARANTEED_PRIORITY
 from .progress import JobProgress, JobState, record_end, update_state
 from .reports import WorkerEntry
 from .run_times import RunTimes
@@ -84,6 +85,8 @@
     if the worker has not answered since this scheduler took over. ``failed_job_ids``
     are the jobs of its latest failures, cleared by a success.
     ``leaves_at_seconds`` is the earliest time at which a draining worker leaves.
+    ``used`` and ``step_counts``, the number of runs by (job id, occurrence, step), are
+    kept up to date with ``runs``.
     """
 
     worker_id: str
@@ -93,6 +96,7 @@
     answered_at_seconds: float = float("-inf")
     runs: dict[tuple[TaskRef, int], Run] = attrs.field(factory=dict)
     used: Resources = NO_RESOURCES
+    step_counts: dict[tuple, int] = attrs.field(factory=dict)
     failed_job_ids: set[str] = attrs.field(factory=set)
     suspect_until_seconds: float = float("-inf")
     has_unknown_runs: bool = False
@@ -108,7 +112,8 @@
 class Job:
     """A job, its progress and its runs.
 
-    ``restarts`` counts restarts of stragglers by (occurrence, step).
+    ``restarts`` counts restarts of stragglers by (occurrence, step). ``ready_units``
+    are the units that are ready to start; None after a change that may affect them.
     """
 
     submission: Submission
@@ -120,6 +125,7 @@
     failed_worker_ids: set[str] = attrs.field(factory=set)
     restarts: dict[tuple[int, int], int] = attrs.field(factory=dict)
     is_final_logged: bool = False
+    ready_units: tuple | None = None
 
     def step_runs(self, occurrence, step_number):
         """Return the runs of one step of one occurrence."""
@@ -156,6 +162,14 @@
         self.dirty_job_ids = set()
         # Jobs with a final stored state.
         self.finished_jobs = {}
+        # Accelerators that the runs of urgent jobs use, by organisation, and those that
+        # other runs use; kept up to date with the runs.
+        self.urgent_gpus = {}
+        self.other_gpus_count = 0
+        # Counts the changes after which other tasks may be placed than before.
+        self.placement_changes_count = 0
+        # Workers with runs that became ready to be stopped.
+        self._workers_to_stop = set()
 
     def add_job(self, submission, *, now_seconds, progress=None, is_cancelled=False):
         """Add a stored job; returns it, or None if it is known already or final."""
@@ -174,6 +188,7 @@
         )
         job.has_started = job.progress.state == JobState.RUNNING
         self.jobs[job_id] = job
+        self.placement_changes_count += 1
         self._restore_runs(job, now_seconds=now_seconds)
         if is_cancelled:
             self.cancel_job(job_id)
@@ -319,12 +334,20 @@
         if not run.is_stopping:
             run.is_stopping = True
             run.stop_reason = reason
+            self._workers_to_stop.add(run.worker_id)
+
+    def take_workers_to_stop(self):
+        """Return the workers with runs that became ready to be stopped, once each."""
+        worker_ids, self._workers_to_stop = self._workers_to_stop, set()
+        return worker_ids
 
     def set_worker_entries(self, entries, *, now_seconds):
         """Replace the list of workers by the one that the platform shows."""
         listed = {entry.worker_id: entry for entry in entries}
         for worker_id in sorted(set(listed) | set(self.workers)):
             worker = self._worker(worker_id)
+            if worker.entry != listed.get(worker_id):
+                self.placement_changes_count += 1
             worker.entry = listed.get(worker_id)
             worker.last_entry = worker.entry or worker.last_entry
             _update_departure(worker, now_seconds)
@@ -362,6 +385,8 @@
             else:
                 self._apply_running(run, item, report)
         # The demand of unknown runs is not known, and so neither is the free capacity.
+        if is_new_life or worker.has_unknown_runs != bool(unknown_runs):
+            self.placement_changes_count += 1
         worker.has_unknown_runs = bool(unknown_runs)
         self._withdraw_absent_runs(worker, running, report, is_new_life=is_new_life)
         return ends, unknown_runs
@@ -395,17 +420,41 @@
     def _attach(self, run):
         worker = self._worker(run.worker_id)
         worker.runs[run.key] = run
-        worker.used = worker.used.plus(run.resources)
-        self.jobs[run.ref.job_id].runs[run.key] = run
+        job = self.jobs[run.ref.job_id]
+        job.runs[run.key] = run
+        self._count_run(worker, job, run, 1)
 
     def _detach(self, run):
         worker = self._worker(run.worker_id)
         if worker.runs.pop(run.key, None) is None:
             return False
-        worker.used = worker.used.minus(run.resources)
-        self.jobs[run.ref.job_id].runs.pop(run.key, None)
+        job = self.jobs[run.ref.job_id]
+        job.runs.pop(run.key, None)
+        self._count_run(worker, job, run, -1)
+        self.placement_changes_count += 1
         return True
 
+    def _count_run(self, worker, job, run, change):
+        """Update the kept figures for a run that was attached (1) or detached (-1)."""
+        job.ready_units = None
+        key = run.ref.job_id, run.ref.occurrence, run.ref.step
+        runs_count = worker.step_counts.get(key, 0) + change
+        if runs_count:
+            worker.step_counts[key] = runs_count
+        else:
+            del worker.step_counts[key]
+        resources = run.resources
+        worker.used = (
+            worker.used.plus(resources) if change > 0 else worker.used.minus(resources)
+        )
+        gpus_count = change * resources.gpus_count
+        if run.priority > GUARANTEED_PRIORITY:
+            self.other_gpus_count += gpus_count
+        elif gpus_count:
+            organisation = job.submission.organisation
+            total_count = self.urgent_gpus.get(organisation, 0) + gpus_count
+            self.urgent_gpus[organisation] = total_count
+
     def _apply_end(self, worker, end, report):
         run = worker.runs.get((end.ref, end.run))
         if run is None:
@@ -435,6 +484,9 @@
         if run.phase != RunPhase.CONFIRMED:
             run.phase = RunPhase.CONFIRMED
             run.confirmed_clock_seconds = report.clock_seconds
+            if run.is_stopping:
+                # Stop orders are only sent for confirmed runs.
+                self._workers_to_stop.add(run.worker_id)
             self._mark_started(self.jobs[run.ref.job_id])
         if not run.is_progress_known:
             run.is_progress_known = True
@@ -497,6 +549,8 @@
         ):
             self.dirty_job_ids.add(job.submission.job_id)
             job.ready_since_seconds = now_seconds
+            job.ready_units = None
+            self.placement_changes_count += 1
         self._update_job_state(job)
 
     def _mark_started(self, job):
--- a/kingcuptrack/state/stragglers.py
+++ b/kingcuptrack/state/stragglers.py
@@ -46,33 +46,63 @@
         Time of the monotonic clock.
     """
     stragglers = []
-    for worker in shard_state.workers.values():
-        if now_seconds - worker.answered_at_seconds > REPORT_AGE_LIMIT_SECONDS:
+    for job in shard_state.jobs.values():
+        if not job.runs:
             continue
-        for run in worker.runs.values():
-            if run.is_stopping or not run.is_progress_known or run.percent >= 100:
+        medians_by_key = {}
+        for run in job.runs.values():
+            if not _is_judged(shard_state, run, now_seconds):
                 continue
-            reason = _find_reason(shard_state, run, now_seconds)
+            # Runs outside the rack of their data are compared with each other.
+            key = run.ref.occurrence, run.ref.step, run.is_remote
+            if key not in medians_by_key:
+                medians_by_key[key] = _median_seconds(job, key)
+            reason = _find_reason(shard_state, run, medians_by_key[key], now_seconds)
             if reason:
                 stragglers.append(Straggler(run=run, reason=reason))
     return stragglers
 
 
-def _find_reason(shard_state, run, now_seconds):
-    expected_seconds = shard_state.expected_seconds(run)
+def _is_judged(shard_state, run, now_seconds):
+    if run.is_stopping or not run.is_progress_known or run.percent >= 100:
+        return False
+    worker = shard_state.workers[run.worker_id]
+    return now_seconds - worker.answered_at_seconds <= REPORT_AGE_LIMIT_SECONDS
+
+
+def _median_seconds(job, key):
+    """Return the median run time of the peers of a slow run, or None if unknown.
+
+    The peers of a run are the other runs with its key. A slow run is above the median,
+    so that the median of its peers is that of all runs but the slowest.
+    """
+    projections = [
+        projected_seconds(run)
+        for run in job.runs.values()
+        if (run.ref.occurrence, run.ref.step, run.is_remote) == key
+    ]
+    projections = sorted(seconds for seconds in projections if seconds is not None)
+    if len(projections) <= PEERS_MINIMUM_COUNT:
+        return None
+    return statistics.median(projections[:-1])
+
+
+def _find_reason(shard_state, run, median_seconds, now_seconds):
+    """Return why a run is a straggler, or an empty string."""
     idle_seconds = now_seconds - run.percent_changed_at_seconds
     restarts_count = shard_state.count_restarts(run)
-    # The job itself may make slow progress, so each restart doubles the time limit.
-    hang_seconds = max(HANG_SECONDS, HANG_FRACTION * expected_seconds)
-    if idle_seconds > hang_seconds * 2**restarts_count:
-        return f"no progress for {idle_seconds:.1f} s at {run.percent}%"
+    if idle_seconds > HANG_SECONDS:
+        expected_seconds = shard_state.expected_seconds(run)
+        # The job itself may make slow progress, so each restart doubles the time limit.
+        hang_seconds = max(HANG_SECONDS, HANG_FRACTION * expected_seconds)
+        if idle_seconds > hang_seconds * 2**restarts_count:
+            return f"no progress for {idle_seconds:.1f} s at {run.percent}%"
     if restarts_count:
         return ""
     total_seconds = projected_seconds(run)
-    if total_seconds is None:
+    if total_seconds is None or median_seconds is None:
         return ""
-    median_seconds = _median_peer_seconds(shard_state, run)
-    if median_seconds is None or total_seconds < SLOW_FACTOR * median_seconds:
+    if total_seconds < SLOW_FACTOR * median_seconds:
         return ""
     rest_seconds = total_seconds * (100 - run.percent) / 100.0
     if rest_seconds < RESTART_GAIN_FACTOR * median_seconds:
@@ -90,17 +120,3 @@
     if elapsed_seconds < OBSERVATION_MINIMUM_SECONDS or gained_percent <= 0:
         return None
     return 100.0 * elapsed_seconds / gained_percent
-
-
-def _median_peer_seconds(shard_state, run):
-    """Return the median run time of a run's peers, or None if there are too few."""
-    job = shard_state.jobs[run.ref.job_id]
-    peers_seconds = [
-        projected_seconds(other)
-        for other in job.step_runs(run.ref.occurrence, run.ref.step)
-        if other is not run and other.is_remote == run.is_remote
-    ]
-    peers_seconds = [seconds for seconds in peers_seconds if seconds is not None]
-    if len(peers_seconds) < PEERS_MINIMUM_COUNT:
-        return None
-    return statistics.median(peers_seconds)
--- /dev/null
+++ b/tests/reference_planning.py
@@ -0,0 +1,225 @@
+"""Slow and simple computations that planning must agree with.
+
+Each decides from all runs and slots anew, without kept or shared figures.
+"""
+
+import statistics
+
+import attrs
+
+from kingcuptrack.state.ordering import GUARANTEED_PRIORITY
+from kingcuptrack.state.packing import Slot, is_eligible
+from kingcuptrack.state.scheduling_units import find_ready_units
+from kingcuptrack.state.steps import NO_RESOURCES
+from kingcuptrack.state.stragglers import (
+    HANG_FRACTION,
+    HANG_SECONDS,
+    PEERS_MINIMUM_COUNT,
+    REPORT_AGE_LIMIT_SECONDS,
+    RESTART_GAIN_FACTOR,
+    SLOW_FACTOR,
+    projected_seconds,
+)
+from kingcuptrack.state.victims import Reclaim
+
+
+def count_fitting(slot, requirements, limit_count):
+    """Return how many tasks fit on a worker, at most the limit."""
+    if not is_eligible(slot, requirements):
+        return 0
+    counts = [limit_count]
+    if requirements.tasks_per_worker_limit:
+        taken_count = slot.step_counts.get(requirements.step_key, 0)
+        counts.append(requirements.tasks_per_worker_limit - taken_count)
+    for free, needed in zip(
+        attrs.astuple(slot.free), attrs.astuple(requirements.demand), strict=True
+    ):
+        if needed > 0:
+            counts.append(max(free, 0) // needed)
+    return max(0, min(counts))
+
+
+def choose_reclaim(slots, victims_by_worker, requirements, tasks_count, *, same_rack):
+    """Choose victims as `victims.choose_reclaim` does, looking at all slots each time.
+
+    Each task goes to the worker where it costs least.
+    """
+    if not same_rack:
+        return _reclaim_among(slots, victims_by_worker, requirements, tasks_count)
+    found = []
+    for rack in sorted({slot.rack for slot in slots}):
+        members = [slot for slot in slots if slot.rack == rack]
+        reclaim = _reclaim_among(members, victims_by_worker, requirements, tasks_count)
+        if reclaim is not None:
+            found.append(reclaim)
+    return min(found, key=lambda reclaim: reclaim.cost, default=None)
+
+
+def _reclaim_among(slots, victims_by_worker, requirements, tasks_count):
+    eligible = [slot for slot in slots if is_eligible(slot, requirements)]
+    trial = {slot.worker_id: _copy(slot) for slot in eligible}
+    chosen, stopped, cost = [], [], 0.0
+    while len(chosen) < tasks_count:
+        best = None
+        for slot in trial.values():
+            victims = _victims_for_one(
+                slot, victims_by_worker.get(slot.worker_id, ()), stopped, requirements
+            )
+            if victims is None:
+                continue
+            added_cost = sum(victim.cost for victim in victims)
+            key = added_cost, slot.free.gpus_count, slot.worker_id
+            if best is None or key < best[0]:
+                best = key, slot, victims
+        if best is None:
+            return None
+        (added_cost, _, _), slot, victims = best
+        cost += added_cost
+        for victim in victims:
+            stopped.append(victim)
+            for run in victim.runs:
+                if run.worker_id in trial:
+                    other = trial[run.worker_id]
+                    other.free = other.free.plus(run.resources)
+        slot.free = slot.free.minus(requirements.demand)
+        key = requirements.step_key
+        slot.step_counts[key] = slot.step_counts.get(key, 0) + 1
+        chosen.append(slot.worker_id)
+    by_id = {slot.worker_id: slot for slot in eligible}
+    return Reclaim(
+        runs=[run for victim in stopped for run in victim.runs],
+        slots=[by_id[worker_id] for worker_id in chosen],
+        cost=cost,
+    )
+
+
+def _victims_for_one(slot, victims, stopped, requirements):
+    if count_fitting(slot, requirements, 1):
+        return []
+    trial = _copy(slot)
+    chosen = []
+    for victim in sorted(victims, key=lambda victim: victim.cost):
+        if victim in stopped:
+            continue
+        chosen.append(victim)
+        trial.free = trial.free.plus(_resources_at(victim, slot.worker_id))
+        if count_fitting(trial, requirements, 1):
+            break
+    else:
+        return None
+    for victim in sorted(chosen, key=lambda victim: -victim.cost):
+        freed = _resources_at(victim, trial.worker_id)
+        trial.free = trial.free.minus(freed)
+        if count_fitting(trial, requirements, 1):
+            chosen.remove(victim)
+        else:
+            trial.free = trial.free.plus(freed)
+    return chosen
+
+
+def _resources_at(victim, worker_id):
+    total = NO_RESOURCES
+    for run in victim.runs:
+        if run.worker_id == worker_id:
+            total = total.plus(run.resources)
+    return total
+
+
+def _copy(slot):
+    return Slot(
+        **{
+            **{field.name: getattr(slot, field.name) for field in attrs.fields(Slot)},
+            "step_counts": dict(slot.step_counts),
+            "planned_tasks": list(slot.planned_tasks),
+        }
+    )
+
+
+def find_straggler_reasons(shard_state, now_seconds):
+    """Return the reasons of the runs that hang or are slow, by key of the run."""
+    reasons = {}
+    for worker in shard_state.workers.values():
+        if now_seconds - worker.answered_at_seconds > REPORT_AGE_LIMIT_SECONDS:
+            continue
+        for run in worker.runs.values():
+            if run.is_stopping or not run.is_progress_known or run.percent >= 100:
+                continue
+            reason = _find_straggler_reason(shard_state, run, now_seconds)
+            if reason:
+                reasons[run.key] = reason
+    return reasons
+
+
+def _find_straggler_reason(shard_state, run, now_seconds):
+    restarts_count = shard_state.count_restarts(run)
+    expected_seconds = shard_state.expected_seconds(run)
+    hang_seconds = max(HANG_SECONDS, HANG_FRACTION * expected_seconds)
+    idle_seconds = now_seconds - run.percent_changed_at_seconds
+    if idle_seconds > hang_seconds * 2**restarts_count:
+        return f"no progress for {idle_seconds:.1f} s at {run.percent}%"
+    total_seconds = projected_seconds(run)
+    if restarts_count or total_seconds is None:
+        return ""
+    job = shard_state.jobs[run.ref.job_id]
+    peers_seconds = [
+        projected_seconds(other)
+        for other in job.step_runs(run.ref.occurrence, run.ref.step)
+        if other is not run and other.is_remote == run.is_remote
+    ]
+    peers_seconds = [seconds for seconds in peers_seconds if seconds is not None]
+    if len(peers_seconds) < PEERS_MINIMUM_COUNT:
+        return ""
+    median_seconds = statistics.median(peers_seconds)
+    rest_seconds = total_seconds * (100 - run.percent) / 100.0
+    is_slow = total_seconds >= SLOW_FACTOR * median_seconds
+    if not is_slow or rest_seconds < RESTART_GAIN_FACTOR * median_seconds:
+        return ""
+    return (
+        f"projected run time {total_seconds:.1f} s; "
+        f"median of other runs of the step {median_seconds:.1f} s"
+    )
+
+
+def check_kept_figures(shard_state, *, wall_seconds):
+    """Check the figures that `ShardState` keeps against a count of all jobs and runs.
+
+    Raises
+    ------
+    AssertionError
+        A kept figure differs, as after a change without its update.
+    """
+    used, step_counts, urgent_gpus, other_gpus = {}, {}, {}, 0
+    for job in shard_state.jobs.values():
+        for run in job.runs.values():
+            worker_id = run.worker_id
+            used[worker_id] = used.get(worker_id, NO_RESOURCES).plus(run.resources)
+            counts = step_counts.setdefault(worker_id, {})
+            key = run.ref.job_id, run.ref.occurrence, run.ref.step
+            counts[key] = counts.get(key, 0) + 1
+            gpus_count = run.resources.gpus_count
+            if run.priority > GUARANTEED_PRIORITY:
+                other_gpus += gpus_count
+            elif gpus_count:
+                organisation = job.submission.organisation
+                urgent_gpus[organisation] = urgent_gpus.get(organisation, 0)
+                urgent_gpus[organisation] += gpus_count
+    for worker_id, worker in shard_state.workers.items():
+        assert worker.used == used.get(worker_id, NO_RESOURCES), worker_id
+        assert worker.step_counts == step_counts.get(worker_id, {}), worker_id
+    kept_gpus = {
+        name: count for name, count in shard_state.urgent_gpus.items() if count
+    }
+    assert kept_gpus == urgent_gpus, (kept_gpus, urgent_gpus)
+    assert shard_state.other_gpus_count == other_gpus
+    kept_units = find_ready_units(shard_state, wall_seconds=wall_seconds)
+    for job in shard_state.jobs.values():
+        job.ready_units = None
+    units = find_ready_units(shard_state, wall_seconds=wall_seconds)
+    assert _unit_keys(kept_units) == _unit_keys(units)
+
+
+def _unit_keys(units):
+    return [
+        (unit.job.submission.job_id, unit.occurrence, unit.step_number, unit.indexes)
+        for unit in units
+    ]
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -1,6 +1,7 @@
 """Seeded simulation of load and faults on the in-memory cluster."""
 
 import random
+from unittest import mock
 
 import anyio
 import attrs
@@ -8,14 +9,16 @@
 
 from emulator.cluster import Cluster, closure_key
 from emulator.virtual_clock import run_virtual
-from kingcuptrack.coordination import admissions
+from kingcuptrack.coordination import admissions, scheduler
 from kingcuptrack.coordination.admissions import JobRequest
 from kingcuptrack.outcomes import Done, Refused
 from kingcuptrack.state.cluster_policy import ClusterPolicy, Organisation, Queue
+from kingcuptrack.state.planner import make_plan
 from kingcuptrack.state.progress import FINAL_STATES
 from kingcuptrack.state.steps import Resources, Step
 
 from .invariants import InvariantChecker, ObservedJob
+from .reference_planning import check_kept_figures
 
 LOAD_SECONDS = 30.0
 # Every accepted job must finish within this time after the load. It covers a lapse of
@@ -87,11 +90,18 @@
     # virtual time.
     logger.disable("kingcuptrack")
     try:
-        return run_virtual(_simulate, seed, faults, jobs_count, load_seconds)
+        with mock.patch.object(scheduler, "make_plan", _plan_with_checked_figures):
+            return run_virtual(_simulate, seed, faults, jobs_count, load_seconds)
     finally:
         logger.enable("kingcuptrack")
 
 
+def _plan_with_checked_figures(shard_state, *arguments, **keywords):
+    """Plan after a check of the figures that planning takes as given."""
+    check_kept_figures(shard_state, wall_seconds=keywords["wall_seconds"])
+    return make_plan(shard_state, *arguments, **keywords)
+
+
 async def _simulate(seed, faults, jobs_count, load_seconds):
     rng = random.Random(seed)
     checker = InvariantChecker()
--- a/tests/test_shard_state.py
+++ b/tests/test_shard_state.py
@@ -1,6 +1,7 @@
 """Changes of the shard state by claims, starts, reports and lapsed leases."""
 
 from kingcuptrack.state.progress import JobProgress, JobState
+from kingcuptrack.state.scheduling_units import find_ready_units
 from kingcuptrack.state.shard_state import RunPhase
 from kingcuptrack.state.steps import NO_RESOURCES
 
@@ -141,6 +142,26 @@
     check.assertEqual(job.progress.state, JobState.RUNNING)
 
 
+def test_a_late_end_makes_the_next_step_ready():
+    """Guards against a step that waits because kept ready units are out of date."""
+    shard_state = make_shard_state({"r0": ["w0"]})
+    add_job(shard_state, "chain", make_step(), make_step(after=(0,)))
+    run = start_run(shard_state, "chain", "w0")
+    shard_state.withdraw(run, now_seconds=1.0)
+    check.assertEqual(_ready_steps(shard_state), [0])
+    changes_count = shard_state.placement_changes_count
+    shard_state.apply_report(
+        "w0", make_report(now_seconds=2.0, ended=[(1, make_ref("chain"), 1, "done")])
+    )
+    check.assertEqual(_ready_steps(shard_state), [1])
+    check.assertGreater(shard_state.placement_changes_count, changes_count)
+
+
+def _ready_steps(shard_state):
+    units = find_ready_units(shard_state, wall_seconds=0.0)
+    return [unit.step_number for unit in units]
+
+
 def test_runs_are_restored_from_stored_progress():
     """Guards against a takeover that loses runs which may exist at workers."""
     shard_state = make_shard_state({"r0": ["w0"]})
--- a/tests/test_stragglers.py
+++ b/tests/test_stragglers.py
@@ -1,8 +1,11 @@
 """Runs that hang or are slow, and draining workers."""
 
+import random
+
 from kingcuptrack.state.departures import find_runs_past_departure
 from kingcuptrack.state.stragglers import find_stragglers
 
+from . import reference_planning
 from .shard_states import (
     add_job,
     make_entry,
@@ -117,3 +120,31 @@
     )
     late_runs = find_runs_past_departure(shard_state, now_seconds=0.0)
     check.assertEqual([run.ref.job_id for run in late_runs], ["long"])
+
+
+def test_runs_of_a_step_are_judged_as_if_each_were_compared_alone():
+    """Guards against a wrong median when the runs of a step are judged together."""
+    found_count = 0
+    for seed in range(100):
+        rng = random.Random(seed)
+        workers = [f"w{number}" for number in range(8)]
+        shard_state = make_shard_state({"r0": workers})
+        for job_id, tasks_count in (("a", rng.randint(1, 8)), ("b", 3)):
+            add_job(shard_state, job_id, make_step(tasks=tasks_count, seconds=5.0))
+            for index in range(tasks_count):
+                run = start(shard_state, job_id, workers[index], index=index)
+                run.is_remote = rng.random() < 0.3
+                run.is_progress_known = rng.random() < 0.9
+                run.first_percent = rng.randint(0, 5)
+                run.percent = rng.randint(5, 100)
+                run.percent_changed_at_seconds = rng.uniform(0.5, 6.0)
+        for worker_id in workers:
+            answered_at_seconds = rng.choice((4.0, 5.5, 6.0))
+            shard_state.workers[worker_id].answered_at_seconds = answered_at_seconds
+        if rng.random() < 0.3:
+            shard_state.jobs["a"].restarts[0, 0] = 1
+        expected = reference_planning.find_straggler_reasons(shard_state, 6.0)
+        found = find_stragglers(shard_state, now_seconds=6.0)
+        check.assertEqual({item.run.key: item.reason for item in found}, expected, seed)
+        found_count += len(expected)
+    check.assertGreater(found_count, 100)
