Let instances with more processor time lead first

Cause: the first instance to look leads, and on the large deployments most have a quarter of the processor time of the strongest (0.516 against 2.15 cores).

Change: the leadership row holds the cores of the leader and whether it is idle. A candidate with 1.5 times the cores replaces an idle leader; one with less than the last leader by that factor waits 0.3 s longer at a takeover or a release. Instances of similar strength behave as before.

--- a/emulator/cluster.py
+++ b/emulator/cluster.py
@@ -46,10 +46,12 @@
     """An instance of the cluster, which can be killed, restarted and frozen.
 
     ``instance`` and ``scope`` are None while it does not run; ``resumed`` is set when
-    its suspended calls may continue, and None unless it is frozen.
+    its suspended calls may continue, and None unless it is frozen. ``cores`` is the
+    processor time that it can use, 0 if unknown.
     """
 
     name: str
+    cores: float = 0.0
     instance: Instance | None = None
     scope: anyio.CancelScope | None = None
     resumed: anyio.Event | None = None
@@ -70,6 +72,8 @@
     observer : object
         Notified of starts, ends, losses and lapses; has the methods of `NullObserver`.
     workers_count, instances_count : int
+    instance_cores : sequence of float
+        Processor time of the first instances; unknown for the others.
     rules : PlanRules
     """
 
@@ -81,6 +85,7 @@
         observer,
         workers_count=12,
         instances_count=4,
+        instance_cores=(),
         rules=DEFAULT_RULES,
     ):
         self._rules = rules
@@ -90,6 +95,8 @@
         for number in range(workers_count):
             self.fleet.add(make_worker_entry(number, rack_size=4), life=1)
         self.members = [Member(name=f"i{n}") for n in range(instances_count)]
+        for member, cores in zip(self.members, instance_cores, strict=False):
+            member.cores = cores
 
     def begin(self):
         """Start the workers and all instances."""
@@ -111,6 +118,7 @@
                 instance_id=member.name,
                 lease_seconds=LONGEST_LEASE_SECONDS,
                 policy_age_limit_seconds=POLICY_AGE_LIMIT_SECONDS,
+                processor_cores=member.cores,
             ),
             environment=self._make_environment(member),
             metrics=PrometheusMetrics(),
--- a/kingcuptrack/coordination/commits.py
+++ b/kingcuptrack/coordination/commits.py
@@ -57,7 +57,8 @@
     """Commits of one term of leadership.
 
     ``version`` is the version of the leadership row. ``renewed_at_seconds`` is when the
-    last applied commit was sent, on ``Clocks.boottime``.
+    last applied commit was sent, on ``Clocks.boottime``. ``holder_cores`` and
+    ``is_idle`` are stored with every commit; see `LeadershipRecord`.
     """
 
     store: object
@@ -68,6 +69,8 @@
     version: int
     sequence: int
     renewed_at_seconds: float
+    holder_cores: float = 0.0
+    is_idle: bool = False
     _timeout: AdaptiveTimeout = attrs.field(
         factory=lambda: AdaptiveTimeout(
             shortest_seconds=TRANSACTION_TIMEOUT_SECONDS,
@@ -93,7 +96,11 @@
         self.sequence += 1
         key = leadership_key(self.shard)
         record = LeadershipRecord(
-            epoch=self.epoch, holder=self.holder, sequence=self.sequence
+            epoch=self.epoch,
+            holder=self.holder,
+            sequence=self.sequence,
+            holder_cores=self.holder_cores,
+            is_idle=self.is_idle,
         )
         transaction = Transaction(
             expect={key: self.version, **expect},
--- a/kingcuptrack/coordination/instance.py
+++ b/kingcuptrack/coordination/instance.py
@@ -26,13 +26,15 @@
     ``lease_seconds`` is the longest lease that workers accept,
     ``policy_age_limit_seconds`` the time after the last confirming read for which
     requests may be answered by the configuration, ``remote_factor`` the run time of a
-    task outside its rack, relative to that inside.
+    task outside its rack, relative to that inside. ``processor_cores`` is the
+    processor time that the instance can use, 0 if unknown.
     """
 
     instance_id: str
     lease_seconds: float
     policy_age_limit_seconds: float
     remote_factor: float = DEFAULT_REMOTE_FACTOR
+    processor_cores: float = 0.0
 
 
 class Instance:
@@ -75,6 +77,7 @@
             shard=shard,
             instance_id=settings.instance_id,
             make_scheduler=make_scheduler,
+            cores=settings.processor_cores,
         )
 
     def is_ready(self):
--- a/kingcuptrack/coordination/leadership.py
+++ b/kingcuptrack/coordination/leadership.py
@@ -1,7 +1,9 @@
 """Election of the instance that schedules a shard.
 
 The leader renews a row in the store with every commit; a candidate takes over when the
-row has not changed for some time.
+row has not changed for some time. Instances differ in their processor time, and the
+scheduler needs more than a small one has: candidates weaker than the last leader wait
+for stronger ones, and a stronger candidate replaces a weak leader that is idle.
 """
 
 import random
@@ -35,6 +37,11 @@
 # Largest extra delay of a candidate, so that usually only one of them tries to take
 # over.
 TAKEOVER_SPREAD_SECONDS = 0.3
+# An instance is stronger than another if it has this many times its processor time.
+STRONGER_FACTOR = 1.5
+# Extra delay of a candidate while stronger ones may take over. Must cover an interval
+# between their reads; all delays together stay below 2 s.
+WEAKER_DELAY_SECONDS = 0.3
 # Time without an answered read after which the leader's silence is measured anew: the
 # leader may not have reached the store either.
 OBSERVATION_GAP_SECONDS = 1.2
@@ -42,11 +49,48 @@
 RELEASE_ATTEMPTS_COUNT = 3
 
 
+@attrs.define(kw_only=True, eq=False)
+class _RowObservation:
+    """How long a candidate has seen the leadership row unchanged."""
+
+    spread_seconds: float
+    _version: int | None = None
+    _unchanged_since_seconds: float = 0.0
+    _read_at_seconds: float = float("-inf")
+    _smoothed_read_seconds: float = 0.0
+
+    def note_read(self, seconds):
+        """Record the duration of a read, answered or not."""
+        self._smoothed_read_seconds += SMOOTHING_WEIGHT * (
+            seconds - self._smoothed_read_seconds
+        )
+
+    def note_version(self, version, now_seconds):
+        """Record the version of the row in an answered read."""
+        has_gap = now_seconds - self._read_at_seconds > OBSERVATION_GAP_SECONDS
+        if version != self._version or has_gap:
+            self._version, self._unchanged_since_seconds = version, now_seconds
+        self._read_at_seconds = now_seconds
+
+    def unchanged_seconds(self, now_seconds):
+        """Return for how long the row has been seen unchanged."""
+        return now_seconds - self._unchanged_since_seconds
+
+    def takeover_seconds(self):
+        """Return the silence of a leader after which a candidate takes over."""
+        return (
+            TAKEOVER_SECONDS
+            + TAKEOVER_READS_COUNT * self._smoothed_read_seconds
+            + self.spread_seconds
+        )
+
+
 @attrs.define(kw_only=True, eq=False)
 class LeadershipCandidate:
     """Watches the leadership row, and leads when no other instance does.
 
-    ``make_scheduler(chain)`` returns the scheduler of a term.
+    ``make_scheduler(chain)`` returns the scheduler of a term. ``cores`` is the
+    processor time that this instance can use, 0 if unknown.
     """
 
     store: object
@@ -54,6 +98,7 @@
     shard: object
     instance_id: str
     make_scheduler: object
+    cores: float = 0.0
     scheduler: object = attrs.field(default=None, init=False)
     _chain: CommitChain | None = attrs.field(default=None, init=False)
     _term_scope: object = attrs.field(default=None, init=False)
@@ -83,6 +128,7 @@
             holder=self.instance_id,
             sequence=chain.sequence + 1,
             is_released=True,
+            holder_cores=self.cores,
         )
         outcome = None
         for _ in range(RELEASE_ATTEMPTS_COUNT):
@@ -111,52 +157,53 @@
 
         Returns None after `release`.
         """
-        observed_version, unchanged_since_seconds, read_at_seconds = (
-            None,
-            0.0,
-            float("-inf"),
-        )
-        # Seeded by the id, so that the delay differs between instances but is the same
-        # in every run of a test.
-        spread_seconds = random.Random(self.instance_id).uniform(
-            0, TAKEOVER_SPREAD_SECONDS
-        )
-        smoothed_read_seconds = 0.0
+        observation = _RowObservation(spread_seconds=self._spread_seconds())
         while not self._is_stopping:
             started_at_seconds = self.clocks.steady()
             outcome = await self._read_record()
             now_seconds = self.clocks.steady()
-            smoothed_read_seconds += SMOOTHING_WEIGHT * (
-                now_seconds - started_at_seconds - smoothed_read_seconds
-            )
+            observation.note_read(now_seconds - started_at_seconds)
             if isinstance(outcome, Done):
                 record, version = outcome.value
-                if record is None or record.is_released:
-                    return record, version
-                if record.holder == self.instance_id:
-                    # The row is of an ended term of this instance, so that no process
-                    # leads.
+                observation.note_version(version, now_seconds)
+                if self._may_take_over(record, observation, now_seconds):
                     return record, version
-                has_gap = now_seconds - read_at_seconds > OBSERVATION_GAP_SECONDS
-                if version != observed_version or has_gap:
-                    observed_version, unchanged_since_seconds = version, now_seconds
-                elif now_seconds - unchanged_since_seconds > (
-                    TAKEOVER_SECONDS
-                    + TAKEOVER_READS_COUNT * smoothed_read_seconds
-                    + spread_seconds
-                ):
-                    log_event(
-                        "leadership",
-                        outcome="stale",
-                        holder=record.holder,
-                        epoch=record.epoch,
-                        silence_seconds=round(now_seconds - unchanged_since_seconds, 3),
-                    )
-                    return record, version
-                read_at_seconds = now_seconds
             await anyio.sleep(WATCH_INTERVAL_SECONDS)
         return None
 
+    def _spread_seconds(self):
+        # Seeded by the id, so that the delay differs between instances but is the same
+        # in every run of a test.
+        rng = random.Random(self.instance_id)
+        return rng.uniform(0, TAKEOVER_SPREAD_SECONDS)
+
+    def _may_take_over(self, record, observation, now_seconds):
+        if record is None or record.holder == self.instance_id:
+            # A row of this instance is of an ended term, so that no process leads.
+            return True
+        delay_seconds = 0.0
+        if 0 < self.cores * STRONGER_FACTOR <= record.holder_cores:
+            delay_seconds = WEAKER_DELAY_SECONDS
+        silence_seconds = observation.unchanged_seconds(now_seconds)
+        if record.is_released:
+            return silence_seconds >= delay_seconds
+        if record.is_idle and self.cores >= STRONGER_FACTOR * record.holder_cores > 0:
+            reason = "weak"
+        elif silence_seconds > observation.takeover_seconds() + delay_seconds:
+            reason = "stale"
+        else:
+            return False
+        log_event(
+            "leadership",
+            outcome=reason,
+            holder=record.holder,
+            epoch=record.epoch,
+            holder_cores=record.holder_cores,
+            cores=self.cores,
+            silence_seconds=round(silence_seconds, 3),
+        )
+        return True
+
     async def _read_record(self):
         key = leadership_key(self.shard)
         outcome = await self.store.read(
@@ -183,7 +230,12 @@
         epoch = record.epoch + 1 if record else 1
         key = leadership_key(self.shard)
         started_at_seconds = self.clocks.boottime()
-        new_record = LeadershipRecord(epoch=epoch, holder=self.instance_id, sequence=0)
+        new_record = LeadershipRecord(
+            epoch=epoch,
+            holder=self.instance_id,
+            sequence=0,
+            holder_cores=self.cores,
+        )
         transaction = Transaction(
             expect={key: version}, puts={key: encode_record(new_record)}
         )
@@ -216,6 +268,7 @@
             version=version,
             sequence=0,
             renewed_at_seconds=started_at_seconds,
+            holder_cores=self.cores,
         )
 
     async def _lead(self, chain):
--- a/kingcuptrack/coordination/scheduler.py
+++ b/kingcuptrack/coordination/scheduler.py
@@ -412,6 +412,7 @@
         )
         if not batch.puts and not batch.removes and not is_due:
             return
+        self._chain.is_idle = not self.shard_state.jobs
         started_at_seconds = self.clocks.steady()
         outcome = await self._chain.commit(
             expect=batch.expect, puts=batch.puts, removes=batch.removes
--- a/kingcuptrack/platform/program.py
+++ b/kingcuptrack/platform/program.py
@@ -117,6 +117,7 @@
             instance_id=settings.instance_id,
             lease_seconds=settings.longest_lease_seconds,
             remote_factor=settings.remote_factor,
+            processor_cores=settings.processor_cores,
             policy_age_limit_seconds=PERMISSION_LOSS_FRACTION
             * settings.permission_loss_seconds,
         ),
--- a/kingcuptrack/platform/settings.py
+++ b/kingcuptrack/platform/settings.py
@@ -32,7 +32,8 @@
 
     ``permission_loss_seconds`` is the longest time for which requests with a revoked
     key may still be served. ``remote_factor`` is how many times as long a task takes
-    outside the rack of its data or of the rest of its gang.
+    outside the rack of its data or of the rest of its gang. ``processor_cores`` is the
+    processor time that the instance can use, 0 if the file does not tell.
     """
 
     instance_id: str
@@ -46,6 +47,7 @@
     stop_seconds: float
     history_seconds: float
     remote_factor: float
+    processor_cores: float = 0.0
 
 
 # The fields of the following classes have the names of the settings file.
@@ -71,6 +73,12 @@
     history_s: float = 20.0
 
 
+@attrs.frozen
+class _Limits:
+    cpu_share: float = 0.0  # share of a core
+    cores: float = 1.0  # how many times as fast that core is
+
+
 @attrs.frozen
 class _File:
     node_name: str  # id of the instance
@@ -80,6 +88,7 @@
     bounds: _Bounds
     platform: _Platform
     port_range: tuple[int, int]  # ports that the instance may use, both ends included
+    limits: _Limits = _Limits()
 
 
 def settings_path():
@@ -120,6 +129,7 @@
         stop_seconds=decoded.bounds.grace_s,
         history_seconds=decoded.platform.history_s,
         remote_factor=decoded.bounds.remote_factor,
+        processor_cores=decoded.limits.cpu_share * decoded.limits.cores,
     )
     for name in (
         "permission_loss_seconds",
@@ -129,6 +139,8 @@
     ):
         if getattr(settings, name) <= 0:
             problems.append(f"{name}: must be greater than 0")
+    if settings.processor_cores < 0:
+        problems.append("limits: cpu_share and cores must not be negative")
     if settings.remote_factor < 1:
         problems.append("remote_factor: must be at least 1")
     _parse_address(decoded.platform.address, "platform.address", problems)
--- a/kingcuptrack/state/records.py
+++ b/kingcuptrack/state/records.py
@@ -16,13 +16,16 @@
     """Content of the leadership row of a shard.
 
     ``sequence`` changes with every commit. ``is_released`` means that the holder has
-    stopped and candidates need not wait.
+    stopped and candidates need not wait. ``holder_cores`` is the processor time that
+    the holder can use, 0 if unknown; ``is_idle`` means that it has no open job.
     """
 
     epoch: int
     holder: str
     sequence: int
     is_released: bool = False
+    holder_cores: float = 0.0
+    is_idle: bool = False
 
 
 def encode_record(record):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -262,15 +262,22 @@
     check.assertEqual(loaded.data_centre, "brum")
     check.assertEqual(loaded.longest_lease_seconds, 6.0)
     check.assertEqual(loaded.remote_factor, 2.5)
+    # Without limits, the instance is neither weak nor strong.
+    check.assertEqual(loaded.processor_cores, 0.0)
+    limited = {**SETTINGS, "limits": {"cpu_share": 0.717, "cores": 3, "max_fds": 8192}}
+    loaded = parse_settings(json.dumps(limited).encode(), file="local.json")
+    check.assertAlmostEqual(loaded.processor_cores, 2.151)
     bad = json.loads(json.dumps(SETTINGS))
     bad["listen"]["front"] = "nowhere"
     bad["bounds"]["max_hold_ms"] = 0
     bad["bounds"]["remote_factor"] = 0.5
+    bad["limits"] = {"cpu_share": -1}
     with check.assertRaises(SettingsError) as caught:
         parse_settings(json.dumps(bad).encode(), file="local.json")
     check.assertIn("listen.front", str(caught.exception))
     check.assertIn("longest_lease_seconds", str(caught.exception))
     check.assertIn("remote_factor", str(caught.exception))
+    check.assertIn("cpu_share", str(caught.exception))
     with check.assertRaises(SettingsError) as caught:
         parse_settings(b'{"node_name": 5}', file="local.json")
     check.assertIn("node_name", str(caught.exception))
