Claim only what can be ordered in time, and allow for an own delay

Cause: on an instance with little processor time, orders are sent long after their claims. Those older than 1 s were dropped, each dropped order ended its gang, and the gang was planned again, until nothing started any more. Calls that the instance itself handled late were taken for silent workers.

A run is taken to hang by the reports of its worker, not by the time since the latest of them. After a takeover workers with runs are polled first.

--- a/emulator/cluster.py
+++ b/emulator/cluster.py
@@ -75,6 +75,9 @@
     instance_cores : sequence of float
         Processor time of the first instances; unknown for the others.
     rules : PlanRules
+    call_seconds : float
+        Time that a call to a worker takes of the processor of an instance; calls of one
+        instance take it one after another.
     """
 
     def __init__(
@@ -87,8 +90,10 @@
         instances_count=4,
         instance_cores=(),
         rules=DEFAULT_RULES,
+        call_seconds=0.0,
     ):
         self._rules = rules
+        self._call_seconds = call_seconds
         self._tasks = tasks
         self.store = RowStore(rng=rng, spawn=tasks.start_soon)
         self.fleet = Fleet(rng=rng, spawn=tasks.start_soon, observer=observer)
@@ -166,6 +171,16 @@
 
             return call
 
+        processor = anyio.Lock()
+
+        def charge_call(function):
+            async def call(**arguments):
+                async with processor:
+                    await anyio.sleep(self._call_seconds)
+                return await function(**arguments)
+
+            return call if self._call_seconds else function
+
         store = self.store.port(member.name)
         store = Store(
             read=suspend_while_frozen(store.read),
@@ -176,9 +191,9 @@
             member.name, lambda: self._can_reach_store(member.name)
         )
         workers = Workers(
-            poll=suspend_while_frozen(workers.poll),
-            start=suspend_while_frozen(workers.start),
-            stop=suspend_while_frozen(workers.stop),
+            poll=suspend_while_frozen(charge_call(workers.poll)),
+            start=suspend_while_frozen(charge_call(workers.start)),
+            stop=suspend_while_frozen(charge_call(workers.stop)),
             list=suspend_while_frozen(workers.list),
         )
         return Environment(
--- a/kingcuptrack/coordination/scheduler.py
+++ b/kingcuptrack/coordination/scheduler.py
@@ -5,6 +5,8 @@
 the ends of runs.
 """
 
+import functools
+
 import anyio
 
 from ..logs import log_event
@@ -18,9 +20,11 @@
 from .batches import JOBS_PER_COMMIT, make_batch
 from .commits import Committed, ConditionFailed, LeadershipLostError
 from .leases import LeaseTracker
+from .order_window import OrderWindow
+from .own_delay import OwnDelay
 from .ports import HISTORY_LOST
 from .rows import JOBS_TABLE, PROGRESS_TABLE, parse_job_key, read_table
-from .sessions import Session
+from .sessions import Session, poll_wait_seconds
 
 # Interval between commits without changes, which renew the leadership row; while there
 # are jobs, it is rounded to planning intervals. Two renewals must fit into
@@ -104,6 +108,13 @@
         self._lease_seconds = lease_seconds
         self._metrics = metrics
         self._rules = rules
+        self.own_delay = OwnDelay(
+            clock=self.clocks.steady,
+            observe=functools.partial(metrics.observe, "own_delay"),
+        )
+        self._order_window = OrderWindow()
+        # Whether planned work was not claimed because of the orders under way.
+        self._is_window_full = False
         self._sessions = {}
         self._task_group = None
         self._commit_trigger = anyio.Event()
@@ -134,6 +145,7 @@
         await self._load()
         async with anyio.create_task_group() as task_group:
             self._task_group = task_group
+            task_group.start_soon(self.own_delay.run)
             task_group.start_soon(self._follow_jobs)
             task_group.start_soon(self._follow_workers)
             task_group.start_soon(self._end_lapsed_runs)
@@ -201,6 +213,19 @@
         self.shard_state.note_refusal(run, now_seconds=self.clocks.steady())
         self._metrics.count_start_refusal(outcome.code)
 
+    def note_order_settled(self, *, is_sent):
+        """Record that a queued start order is not under way any more."""
+        self._order_window.note_settled(self.clocks.steady(), is_sent=is_sent)
+        if self._is_window_full and self._order_window.has_room(1):
+            self._is_window_full = False
+            self._planned_changes_count = -1
+            self._request_commit()
+
+    def poll_wait_seconds(self):
+        """Return how long polls of busy workers wait for the end of a run."""
+        busy_workers_count = self.shard_state.busy_workers_count
+        return poll_wait_seconds(busy_workers_count, self._chain.holder_cores)
+
     def end_fenced_term(self, worker_id):
         """Raise `LeadershipLostError`: a worker has seen a newer scheduler's token."""
         raise LeadershipLostError(f"worker {worker_id} has seen a higher fencing token")
@@ -360,7 +385,10 @@
                 self._request_commit()
 
     async def _commit_loop(self):
-        for session in self._sessions.values():
+        # The first polls settle what runs, so that workers with runs come first.
+        for session in sorted(
+            self._sessions.values(), key=lambda session: not session.has_runs
+        ):
             self._task_group.start_soon(session.run)
         while True:
             with anyio.move_on_after(self._commit_wait_seconds()):
@@ -467,6 +495,10 @@
                 # The rest is planned again after this commit.
                 self._planned_changes_count = -1
                 break
+            if not self._order_window.has_room(len(group), claimed_count=len(claims)):
+                # The rest is planned again when orders have been sent.
+                self._is_window_full = True
+                break
             for placement in group:
                 run = self.shard_state.claim(
                     placement.ref,
@@ -481,7 +513,12 @@
 
     def _stop_slow_or_departing_runs(self, now_seconds):
         """Stop runs that hang or are too slow, or whose worker leaves too early."""
-        for straggler in find_stragglers(self.shard_state, now_seconds=now_seconds):
+        stragglers = find_stragglers(
+            self.shard_state,
+            now_seconds=now_seconds,
+            poll_wait_seconds=self.poll_wait_seconds(),
+        )
+        for straggler in stragglers:
             self.shard_state.record_straggler(straggler.run, now_seconds=now_seconds)
             self._stop(straggler.run, straggler.reason)
         for run in find_runs_past_departure(self.shard_state, now_seconds=now_seconds):
@@ -574,6 +611,7 @@
             self.shard_state.withdraw(run, now_seconds=now_seconds)
             return
         run.phase = RunPhase.ORDERED
+        self._order_window.note_queued(now_seconds)
         spec = self.shard_state.jobs[run.ref.job_id].submission.spec
         self._sessions[run.worker_id].queue_start(run, spec)
 
--- a/kingcuptrack/coordination/sessions.py
+++ b/kingcuptrack/coordination/sessions.py
@@ -11,10 +11,14 @@
 from .leases import LeaseTracker
 from .ports import FENCED, PollRequest, StartOrder
 
-# Longest wait of a poll for the end of a run. The next poll renews the lease; the wait
-# must stay well below `lease_seconds`, so that most of the lease is left when a worker
-# becomes unreachable.
+# Wait of a poll for the end of a run, and the longest wait while so many workers are
+# busy that polls would take too much processor time. The next poll renews the lease;
+# the wait must stay well below `lease_seconds`, so that most of the lease is left when
+# a worker becomes unreachable. Workers accept waits of up to 2 s.
 POLL_WAIT_SECONDS = 0.7
+LONGEST_POLL_WAIT_SECONDS = 1.9
+# Polls per second for each core of the scheduler's instance; a tenth of a core.
+POLLS_PER_CORE_SECOND = 150.0
 # Time limit of an answer in addition to the wait; many times the usual answer time.
 CALL_TIMEOUT_SECONDS = 0.6
 # Interval between polls of a worker without runs, which keep its clock and health
@@ -25,8 +29,23 @@
 # Interval at which a stop order is repeated until the worker reports the end.
 STOP_RETRY_SECONDS = 0.5
 # Age from which a queued start order is no longer sent, since it would ignore cancels
-# and take-outs made after the commit of its claim.
-ORDER_AGE_LIMIT_SECONDS = 1.0
+# and take-outs made after the commit of its claim, which bind within 3 s. Members of
+# a gang wait as long for each other.
+ORDER_AGE_LIMIT_SECONDS = 2.0
+
+
+def poll_wait_seconds(busy_workers_count, cores):
+    """Return how long polls wait for the end of a run.
+
+    Parameters
+    ----------
+    busy_workers_count : int
+    cores : float
+        Processor time of this instance; 0 if unknown, which counts as one core.
+    """
+    polls_per_second = POLLS_PER_CORE_SECOND * (cores or 1.0)
+    wait_seconds = busy_workers_count / polls_per_second
+    return min(max(wait_seconds, POLL_WAIT_SECONDS), LONGEST_POLL_WAIT_SECONDS)
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -65,6 +84,11 @@
         self._starts.append((run, spec, self._now_seconds()))
         self.wake()
 
+    @property
+    def has_runs(self):
+        """Whether the worker has runs, or may have."""
+        return bool(self._runs())
+
     @property
     def life(self):
         """Incarnation of the worker that answered last; 0 before the first answer."""
@@ -88,7 +112,9 @@
                 continue
             is_busy = bool(self._runs()) or bool(self._unknown_runs)
             is_answered = await self.poll(
-                wait_seconds=POLL_WAIT_SECONDS if is_busy and self._is_reachable else 0
+                wait_seconds=self.scheduler.poll_wait_seconds()
+                if is_busy and self._is_reachable
+                else 0
             )
             if not is_answered:
                 await anyio.sleep(RETRY_SECONDS)
@@ -118,7 +144,7 @@
         outcome = await self.scheduler.workers.poll(
             entry=entry,
             request=request,
-            timeout_seconds=wait_seconds + CALL_TIMEOUT_SECONDS,
+            timeout_seconds=wait_seconds + self._call_timeout_seconds(),
         )
         if not isinstance(outcome, Done):
             is_fenced = isinstance(outcome, Refused) and outcome.code == FENCED
@@ -173,13 +199,14 @@
     async def _send_starts(self):
         while self._starts:
             run, spec, queued_at_seconds = self._starts.popleft()
-            if run.key not in self._runs() or run.phase != RunPhase.ORDERED:
-                continue
-            reason = self._find_start_obstacle(run, queued_at_seconds)
-            if reason:
-                self._abandon_start(run, reason)
-                continue
-            await self._send_start(run, spec)
+            is_answered = False
+            if run.key in self._runs() and run.phase == RunPhase.ORDERED:
+                reason = self._find_start_obstacle(run, queued_at_seconds)
+                if reason:
+                    self._abandon_start(run, reason)
+                else:
+                    is_answered = await self._send_start(run, spec)
+            self.scheduler.note_order_settled(is_sent=is_answered)
             if run.phase == RunPhase.UNSETTLED:
                 return
 
@@ -196,11 +223,12 @@
         return ""
 
     async def _send_start(self, run, spec):
+        """Send a start order; returns whether the worker answered."""
         now_seconds = self._now_seconds()
         deadline_seconds = self.leases.grant(now_seconds)
         if deadline_seconds is None:
             self._abandon_start(run, "the worker has not answered yet")
-            return
+            return False
         run.token = self.token
         order = StartOrder(
             ref=run.ref,
@@ -211,7 +239,9 @@
             token=run.token,
         )
         outcome = await self.scheduler.workers.start(
-            entry=self._entry(), order=order, timeout_seconds=CALL_TIMEOUT_SECONDS
+            entry=self._entry(),
+            order=order,
+            timeout_seconds=self._call_timeout_seconds(),
         )
         seconds = self._now_seconds() - now_seconds
         self.scheduler.record_latency("start_order", seconds)
@@ -224,6 +254,7 @@
         else:
             run.phase = RunPhase.UNSETTLED
             self._log_start(run, "unknown", outcome.message)
+        return isinstance(outcome, Done | Refused)
 
     def _abandon_start(self, run, reason):
         self._log_start(run, "not_started", reason)
@@ -283,7 +314,7 @@
                 ref=ref,
                 run=number,
                 token=self.token,
-                timeout_seconds=CALL_TIMEOUT_SECONDS,
+                timeout_seconds=self._call_timeout_seconds(),
             )
             log_event(
                 "stop",
@@ -295,6 +326,9 @@
                 reason=run.stop_reason if run else "not a run of any job",
             )
 
+    def _call_timeout_seconds(self):
+        return self.scheduler.own_delay.extend(CALL_TIMEOUT_SECONDS)
+
     def _now_seconds(self):
         return self.scheduler.clocks.steady()
 
--- a/kingcuptrack/state/shard_state.py
+++ b/kingcuptrack/state/shard_state.py
@@ -166,6 +166,8 @@
         # other runs use; kept up to date with the runs.
         self.urgent_gpus = {}
         self.other_gpus_count = 0
+        # Workers with runs; kept up to date with the runs.
+        self.busy_workers_count = 0
         # Counts the changes after which other tasks may be placed than before.
         self.placement_changes_count = 0
         # Workers with runs that became ready to be stopped.
@@ -419,6 +421,7 @@
 
     def _attach(self, run):
         worker = self._worker(run.worker_id)
+        self.busy_workers_count += not worker.runs
         worker.runs[run.key] = run
         job = self.jobs[run.ref.job_id]
         job.runs[run.key] = run
@@ -428,6 +431,7 @@
         worker = self._worker(run.worker_id)
         if worker.runs.pop(run.key, None) is None:
             return False
+        self.busy_workers_count -= not worker.runs
         job = self.jobs[run.ref.job_id]
         job.runs.pop(run.key, None)
         self._count_run(worker, job, run, -1)
--- a/kingcuptrack/state/stragglers.py
+++ b/kingcuptrack/state/stragglers.py
@@ -14,8 +14,9 @@
 # expected run time. Progress is reported in percent and so changes rarely in long runs.
 HANG_SECONDS = 2.0
 HANG_FRACTION = 0.1
-# Runs are not judged by a report older than this: the worker may be unreachable.
-REPORT_AGE_LIMIT_SECONDS = 1.5
+# Runs are not judged by a report older than this beyond the wait of polls: the worker
+# may be unreachable.
+REPORT_AGE_LIMIT_SECONDS = 0.8
 # Shortest observation by which the speed of a run is judged.
 OBSERVATION_MINIMUM_SECONDS = 1.0
 # A run is slow if it takes this many times the median run time of its peers, the other
@@ -36,40 +37,44 @@
     reason: str
 
 
-def find_stragglers(shard_state, *, now_seconds):
+def find_stragglers(shard_state, *, now_seconds, poll_wait_seconds):
     """Return a `Straggler` for each run that hangs or is slow.
 
+    A run is judged by the reports of its worker; the time since the latest report does
+    not count, since the run may have made progress meanwhile.
+
     Parameters
     ----------
     shard_state : ShardState
     now_seconds : float
         Time of the monotonic clock.
+    poll_wait_seconds : float
+        Usual time between two reports of a worker.
     """
+    answered_from_seconds = now_seconds - poll_wait_seconds - REPORT_AGE_LIMIT_SECONDS
     stragglers = []
     for job in shard_state.jobs.values():
         if not job.runs:
             continue
         medians_by_key = {}
         for run in job.runs.values():
-            if not _is_judged(shard_state, run, now_seconds):
+            worker = shard_state.workers[run.worker_id]
+            is_known = run.is_progress_known and not run.is_stopping
+            if not is_known or worker.answered_at_seconds < answered_from_seconds:
+                continue
+            if run.percent >= 100:
                 continue
             # Runs outside the rack of their data are compared with each other.
             key = run.ref.occurrence, run.ref.step, run.is_remote
             if key not in medians_by_key:
                 medians_by_key[key] = _median_seconds(job, key)
-            reason = _find_reason(shard_state, run, medians_by_key[key], now_seconds)
+            idle_seconds = worker.answered_at_seconds - run.percent_changed_at_seconds
+            reason = _find_reason(shard_state, run, medians_by_key[key], idle_seconds)
             if reason:
                 stragglers.append(Straggler(run=run, reason=reason))
     return stragglers
 
 
-def _is_judged(shard_state, run, now_seconds):
-    if run.is_stopping or not run.is_progress_known or run.percent >= 100:
-        return False
-    worker = shard_state.workers[run.worker_id]
-    return now_seconds - worker.answered_at_seconds <= REPORT_AGE_LIMIT_SECONDS
-
-
 def _median_seconds(job, key):
     """Return the median run time of the peers of a slow run, or None if unknown.
 
@@ -87,9 +92,11 @@
     return statistics.median(projections[:-1])
 
 
-def _find_reason(shard_state, run, median_seconds, now_seconds):
-    """Return why a run is a straggler, or an empty string."""
-    idle_seconds = now_seconds - run.percent_changed_at_seconds
+def _find_reason(shard_state, run, median_seconds, idle_seconds):
+    """Return why a run is a straggler, or an empty string.
+
+    Its progress did not change for ``idle_seconds`` until the latest report.
+    """
     restarts_count = shard_state.count_restarts(run)
     if idle_seconds > HANG_SECONDS:
         expected_seconds = shard_state.expected_seconds(run)
--- a/tests/test_stragglers.py
+++ b/tests/test_stragglers.py
@@ -2,8 +2,9 @@
 
 import random
 
+from kingcuptrack.coordination.sessions import POLL_WAIT_SECONDS
+from kingcuptrack.state import stragglers as module
 from kingcuptrack.state.departures import find_runs_past_departure
-from kingcuptrack.state.stragglers import find_stragglers
 
 from . import reference_planning
 from .shard_states import (
@@ -20,6 +21,13 @@
 load_tests = function_tests(__name__)
 
 
+def find_stragglers(shard_state, *, now_seconds):
+    """Return the stragglers at the usual interval of reports."""
+    return module.find_stragglers(
+        shard_state, now_seconds=now_seconds, poll_wait_seconds=POLL_WAIT_SECONDS
+    )
+
+
 def _report(shard_state, worker_id, now_seconds, *progress):
     shard_state.apply_report(
         worker_id,
@@ -46,6 +54,23 @@
     check.assertEqual([straggler.run.ref.job_id for straggler in stragglers], ["stuck"])
 
 
+def test_a_late_report_is_not_taken_for_a_hang():
+    """Guards against a run that is restarted because its worker reports late.
+
+    Each report shows progress, and the latest one is older than usual.
+    """
+    shard_state = make_shard_state({"r0": ["w0"]})
+    add_job(shard_state, "job", make_step(seconds=5.0))
+    start(shard_state, "job", "w0")
+    _report(shard_state, "w0", 0.5, ("job", 0, 10))
+    _report(shard_state, "w0", 2.0, ("job", 0, 10))
+    for late_seconds in (0.7, 1.4):
+        stragglers = find_stragglers(shard_state, now_seconds=2.0 + late_seconds)
+        check.assertEqual(stragglers, [])
+    _report(shard_state, "w0", 2.6, ("job", 0, 10))
+    check.assertEqual(len(find_stragglers(shard_state, now_seconds=2.7)), 1)
+
+
 def test_silence_is_not_taken_for_a_hang():
     """Guards against restarts of runs whose worker cannot be reached."""
     shard_state = make_shard_state({"r0": ["w0"]})
