Continue after unexpected errors in one part of an instance

Cause: any exception in a session, a feed, a planning pass or a term of the scheduler ended the process, and the next leader met the same row or report.

Change: tasks of an instance and of a term are supervised, and start again a second after a logged error; a unit that cannot be planned waits with the reason; rows that contradict each other are logged and left out; a term that fails is released to another instance, and this one waits 5 s before it leads again. A value of the store that is not Base64 counts as a malformed row.

--- a/kingcuptrack/coordination/instance.py
+++ b/kingcuptrack/coordination/instance.py
@@ -12,6 +12,7 @@
 from .policy_watch import PolicyWatch
 from .ports import Shard
 from .scheduler import Scheduler
+from .supervision import supervise
 
 # Interval between reads of the worker list for the check whether a job can ever run;
 # the list changes rarely.
@@ -96,9 +97,12 @@
     async def run(self):
         """Run the tasks of all components until cancelled."""
         async with anyio.create_task_group() as task_group:
-            task_group.start_soon(self.policy_watch.run)
-            task_group.start_soon(self._follow_workers)
-            task_group.start_soon(self.candidate.run)
+            for name, function in (
+                ("policy_watch", self.policy_watch.run),
+                ("worker_list", self._follow_workers),
+                ("leadership", self.candidate.run),
+            ):
+                task_group.start_soon(supervise, name, function)
 
     async def leave(self):
         """Report not ready and release the leadership."""
--- a/kingcuptrack/coordination/leadership.py
+++ b/kingcuptrack/coordination/leadership.py
@@ -22,6 +22,7 @@
 from .commits import TRANSACTION_TIMEOUT_SECONDS, CommitChain, LeadershipLostError
 from .ports import CONFLICT, Transaction
 from .rows import leadership_key
+from .supervision import describe_error
 
 # Interval between reads of the row; several must fit into TAKEOVER_SECONDS.
 WATCH_INTERVAL_SECONDS = 0.25
@@ -45,6 +46,9 @@
 # Time without an answered read after which the leader's silence is measured anew: the
 # leader may not have reached the store either.
 OBSERVATION_GAP_SECONDS = 1.2
+# Time for which an instance does not lead again after an unexpected error, so that
+# another one leads.
+FAILED_TERM_PAUSE_SECONDS = 5.0
 # A pending commit and its repetition can each cause one conflict.
 RELEASE_ATTEMPTS_COUNT = 3
 
@@ -119,9 +123,10 @@
         self._is_stopping = True
         if self._term_scope is not None:
             self._term_scope.cancel()
-        chain = self._chain
-        if chain is None:
-            return
+        if self._chain is not None:
+            await self._release_row(self._chain)
+
+    async def _release_row(self, chain):
         key = leadership_key(self.shard)
         record = LeadershipRecord(
             epoch=chain.epoch,
@@ -143,7 +148,7 @@
             # Either a pending commit of this term was applied, or another instance
             # leads.
             row = outcome.detail.get(key)
-            if row is None or decode_leadership(row.value).epoch != chain.epoch:
+            if row is None or not _is_of_epoch(row, chain.epoch):
                 break
             chain.version = row.version
         log_event(
@@ -275,6 +280,7 @@
         log_event("leadership", outcome="taken", epoch=chain.epoch)
         self._chain = chain
         self.scheduler = self.make_scheduler(chain)
+        is_failed = False
         try:
             with anyio.CancelScope() as self._term_scope:
                 await self.scheduler.run()
@@ -285,11 +291,30 @@
                 epoch=chain.epoch,
                 reason=_first_error_text(group),
             )
+        except* Exception as group:
+            is_failed = True
+            log_event(
+                "leadership",
+                outcome="failed",
+                epoch=chain.epoch,
+                reason=describe_error(group),
+            )
         finally:
             self._term_scope = None
             self.scheduler = None
             if not self._is_stopping:
                 self._chain = None
+        if is_failed and not self._is_stopping:
+            await self._release_row(chain)
+            await anyio.sleep(FAILED_TERM_PAUSE_SECONDS)
+
+
+def _is_of_epoch(row, epoch):
+    try:
+        return decode_leadership(row.value).epoch == epoch
+    except RecordError as error:
+        log_event("row", outcome="unreadable", row=str(row.key), reason=str(error))
+        return False
 
 
 def _first_error_text(group):
--- a/kingcuptrack/coordination/scheduler.py
+++ b/kingcuptrack/coordination/scheduler.py
@@ -25,6 +25,7 @@
 from .ports import HISTORY_LOST
 from .rows import JOBS_TABLE, PROGRESS_TABLE, parse_job_key, read_table
 from .sessions import Session, poll_wait_seconds
+from .supervision import describe_error, supervise
 
 # Interval between commits without changes, which renew the leadership row; while there
 # are jobs, it is rounded to planning intervals. Two renewals must fit into
@@ -145,10 +146,13 @@
         await self._load()
         async with anyio.create_task_group() as task_group:
             self._task_group = task_group
-            task_group.start_soon(self.own_delay.run)
-            task_group.start_soon(self._follow_jobs)
-            task_group.start_soon(self._follow_workers)
-            task_group.start_soon(self._end_lapsed_runs)
+            for name, function in (
+                ("own_delay", self.own_delay.run),
+                ("job_feed", self._follow_jobs),
+                ("worker_list", self._follow_workers),
+                ("lapsed_runs", self._end_lapsed_runs),
+            ):
+                task_group.start_soon(supervise, name, function)
             await self._commit_loop()
 
     # Called by sessions
@@ -292,12 +296,20 @@
             except RecordError as error:
                 log_event("row", outcome="unreadable", row=str(row.key), reason=error)
                 continue
-            self.shard_state.add_job(
-                submission,
-                now_seconds=now_seconds,
-                progress=progress_by_id.get(job_id),
-                is_cancelled=job_id in cancelled,
-            )
+            try:
+                self.shard_state.add_job(
+                    submission,
+                    now_seconds=now_seconds,
+                    progress=progress_by_id.get(job_id),
+                    is_cancelled=job_id in cancelled,
+                )
+            except Exception as error:  # rows that contradict each other
+                log_event(
+                    "row",
+                    outcome="unusable",
+                    row=str(row.key),
+                    reason=describe_error(error),
+                )
         for job_id in sorted(cancelled):
             if self.shard_state.cancel_job(job_id):
                 log_event("cancel", outcome="noted", job_id=job_id)
--- a/kingcuptrack/coordination/sessions.py
+++ b/kingcuptrack/coordination/sessions.py
@@ -10,6 +10,7 @@
 from ..state.shard_state import RunPhase
 from .leases import LeaseTracker
 from .ports import FENCED, PollRequest, StartOrder
+from .supervision import supervise
 
 # Wait of a poll for the end of a run, and the longest wait while so many workers are
 # busy that polls would take too much processor time. The next poll renews the lease;
@@ -76,8 +77,11 @@
     async def run(self):
         """Poll the worker and send it orders until cancelled."""
         async with anyio.create_task_group() as task_group:
-            task_group.start_soon(self._poll_loop)
-            task_group.start_soon(self._order_loop)
+            for name, function in (
+                (f"poll {self.worker_id}", self._poll_loop),
+                (f"order {self.worker_id}", self._order_loop),
+            ):
+                task_group.start_soon(supervise, name, function)
 
     def queue_start(self, run, spec):
         """Queue a start order for a committed run."""
@@ -200,13 +204,19 @@
         while self._starts:
             run, spec, queued_at_seconds = self._starts.popleft()
             is_answered = False
-            if run.key in self._runs() and run.phase == RunPhase.ORDERED:
-                reason = self._find_start_obstacle(run, queued_at_seconds)
-                if reason:
-                    self._abandon_start(run, reason)
-                else:
-                    is_answered = await self._send_start(run, spec)
-            self.scheduler.note_order_settled(is_sent=is_answered)
+            try:
+                if run.key in self._runs() and run.phase == RunPhase.ORDERED:
+                    reason = self._find_start_obstacle(run, queued_at_seconds)
+                    if reason:
+                        self._abandon_start(run, reason)
+                    else:
+                        is_answered = await self._send_start(run, spec)
+            except Exception:
+                # The order may have been sent.
+                run.phase = RunPhase.UNSETTLED
+                raise
+            finally:
+                self.scheduler.note_order_settled(is_sent=is_answered)
             if run.phase == RunPhase.UNSETTLED:
                 return
 
--- a/kingcuptrack/platform/store.py
+++ b/kingcuptrack/platform/store.py
@@ -15,6 +15,7 @@
     RowsRead,
     Store,
 )
+from ..logs import log_event
 from ..outcomes import Done, Refused, Unknown
 
 # Part of the timeout of a feed request beyond the wait that it asks for.
@@ -143,12 +144,14 @@
 
 
 def _decode_row(row):
-    return Row(
-        key=RowKey(table=row.table, part=row.part, key=row.key),
-        value=base64.b64decode(row.value),
-        version=row.ver,
-        is_removed=row.removed,
-    )
+    """Return a `Row`; its value is empty, and so malformed, if it cannot be decoded."""
+    key = RowKey(table=row.table, part=row.part, key=row.key)
+    try:
+        value = base64.b64decode(row.value)
+    except ValueError as error:
+        log_event("row", outcome="unreadable", row=str(key), reason=str(error))
+        value = b""
+    return Row(key=key, value=value, version=row.ver, is_removed=row.removed)
 
 
 def _encode_key(key):
--- a/kingcuptrack/state/planner.py
+++ b/kingcuptrack/state/planner.py
@@ -116,17 +116,7 @@
         urgent_gpus=dict(shard_state.urgent_gpus),
         other_gpus_count=shard_state.other_gpus_count,
     )
-    guaranteed = planning_pass.find_guaranteed(units)
-    units.sort(
-        key=lambda unit: rules.order(
-            unit,
-            is_guaranteed=unit in guaranteed,
-            wall_seconds=wall_seconds,
-            expect=planning_pass.run_time_estimator(unit),
-        )
-    )
-    for unit in units:
-        planning_pass.plan_unit(unit, is_guaranteed=unit in guaranteed)
+    planning_pass.plan_units(units)
     return Plan(
         groups=planning_pass.groups,
         stops=planning_pass.stops,
@@ -162,7 +152,30 @@
     # Victims by whether guaranteed work needs them; cleared when runs are stopped.
     _victims: dict = attrs.field(factory=dict, init=False)
 
-    def find_guaranteed(self, units):
+    def plan_units(self, units):
+        """Plan units in their order; an error affects only the unit that causes it."""
+        guaranteed = self._find_guaranteed(units)
+        keyed_units = []
+        for unit in units:
+            try:
+                key = self.rules.order(
+                    unit,
+                    is_guaranteed=unit in guaranteed,
+                    wall_seconds=self.wall_seconds,
+                    expect=self.run_time_estimator(unit),
+                )
+            except Exception as error:
+                self.waits.append((unit, f"cannot be ordered: {error!r}"))
+            else:
+                keyed_units.append((key, unit))
+        keyed_units.sort(key=lambda item: item[0])
+        for _, unit in keyed_units:
+            try:
+                self.plan_unit(unit, is_guaranteed=unit in guaranteed)
+            except Exception as error:
+                self.waits.append((unit, f"cannot be planned: {error!r}"))
+
+    def _find_guaranteed(self, units):
         """Return the urgent units within the guarantees; older jobs take precedence."""
         promised = dict(self.urgent_gpus)
         guaranteed = set()
