Poll a worker again only when its ends can be acknowledged

Cause: a worker repeats ends that are not acknowledged and answers such polls at once, and an end can be acknowledged only after its commit. While the store is slow or down, each busy worker with an end was polled without a pause.

Change: after a report with ends that are not committed, the next poll waits for the commit, at most for the usual time between polls. The acknowledgement then goes out at once, also to a worker that has become idle.

--- a/kingcuptrack/coordination/sessions.py
+++ b/kingcuptrack/coordination/sessions.py
@@ -102,6 +102,7 @@
         """Acknowledge the ends of one incarnation up to a number with later polls."""
         if life == self._life:
             self.acknowledged_end = max(self.acknowledged_end, end_number)
+            self._poll_event.set()
 
     def wake(self):
         """Send pending orders, and poll an idle worker, without further wait."""
@@ -122,10 +123,17 @@
             )
             if not is_answered:
                 await anyio.sleep(RETRY_SECONDS)
+            elif self.received_end > self.acknowledged_end:
+                # The worker would answer at once, with the same ends, until the commit
+                # of these ends allows to acknowledge them.
+                await self._wait_for_wake(self.scheduler.poll_wait_seconds())
             elif not self._runs():
-                self._poll_event = anyio.Event()
-                with anyio.move_on_after(IDLE_POLL_INTERVAL_SECONDS):
-                    await self._poll_event.wait()
+                await self._wait_for_wake(IDLE_POLL_INTERVAL_SECONDS)
+
+    async def _wait_for_wake(self, limit_seconds):
+        self._poll_event = anyio.Event()
+        with anyio.move_on_after(limit_seconds):
+            await self._poll_event.wait()
 
     async def poll(self, *, wait_seconds):
         """Poll once and apply the report; returns whether the worker answered."""
