Date a renewal by its first attempt

Cause: a commit whose answer was lost counted as renewed when a later conflict showed that it had been applied. Candidates may have seen the row unchanged since its first attempt, so that leases could be extended for up to the time of all attempts beyond the permission to do so.

Change: such a commit counts from its first attempt; when an earlier, superseded commit was applied is not known, so that it renews nothing. Shown by test_commits (failed before). A simulation lets strong and weak leaders alternate under load.

--- a/kingcuptrack/coordination/commits.py
+++ b/kingcuptrack/coordination/commits.py
@@ -56,9 +56,10 @@
 class CommitChain:
     """Commits of one term of leadership.
 
-    ``version`` is the version of the leadership row. ``renewed_at_seconds`` is when the
-    last applied commit was sent, on ``Clocks.boottime``. ``holder_cores`` and
-    ``is_idle`` are stored with every commit; see `LeadershipRecord`.
+    ``version`` is the version of the leadership row. ``renewed_at_seconds`` is the
+    earliest time, on ``Clocks.boottime``, at which the last commit can have been
+    applied. ``holder_cores`` and ``is_idle`` are stored with every commit; see
+    `LeadershipRecord`.
     """
 
     store: object
@@ -108,6 +109,7 @@
             removes=tuple(removes),
         )
         is_unanswered = False
+        first_sent_at_seconds = self.clocks.boottime()
         while True:
             sent_at_seconds = self.clocks.boottime()
             outcome = await self.store.transact(
@@ -124,7 +126,9 @@
                 return Committed()
             if isinstance(outcome, Refused) and outcome.code == CONFLICT:
                 self._log_settled(is_unanswered)
-                return self._interpret_conflict(outcome.detail, expect)
+                return self._interpret_conflict(
+                    outcome.detail, expect, first_sent_at_seconds
+                )
             if not is_unanswered:
                 is_unanswered = True
                 log_event(
@@ -142,7 +146,7 @@
                 "commit", outcome="settled", epoch=self.epoch, sequence=self.sequence
             )
 
-    def _interpret_conflict(self, rows, expect):
+    def _interpret_conflict(self, rows, expect, first_sent_at_seconds):
         row = rows.get(leadership_key(self.shard))
         if row is None or row.version == self.version:
             failed_rows = {
@@ -160,8 +164,10 @@
         if record.epoch != self.epoch or record.holder != self.holder:
             raise LeadershipLostError(f"{record.holder} leads in epoch {record.epoch}")
         self.version = row.version
-        self.renewed_at_seconds = self.clocks.boottime()
         if record.sequence == self.sequence:
+            # Any of the attempts may have been applied, also the first one: candidates
+            # may have seen the row unchanged since then.
+            self.renewed_at_seconds = first_sent_at_seconds
             return Committed()
         return Superseded()
 
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -74,7 +74,9 @@
         self.log.append(f"{anyio.current_time():.3f} {message}")
 
 
-def run_simulation(seed, faults, *, jobs_count=30, load_seconds=LOAD_SECONDS):
+def run_simulation(
+    seed, faults, *, jobs_count=30, load_seconds=LOAD_SECONDS, instance_cores=()
+):
     """Run one simulation and return its `InvariantChecker`.
 
     Parameters
@@ -85,13 +87,17 @@
     jobs_count : int
     load_seconds : float
         Time over which the jobs are submitted.
+    instance_cores : sequence of float
+        Processor time of the first instances; unknown for the others.
     """
     # One run logs thousands of lines, stamped with wall clock time and not with
     # virtual time.
     logger.disable("kingcuptrack")
     try:
         with mock.patch.object(scheduler, "make_plan", _plan_with_checked_figures):
-            return run_virtual(_simulate, seed, faults, jobs_count, load_seconds)
+            return run_virtual(
+                _simulate, seed, faults, jobs_count, load_seconds, instance_cores
+            )
     finally:
         logger.enable("kingcuptrack")
 
@@ -102,11 +108,13 @@
     return make_plan(shard_state, *arguments, **keywords)
 
 
-async def _simulate(seed, faults, jobs_count, load_seconds):
+async def _simulate(seed, faults, jobs_count, load_seconds, instance_cores):
     rng = random.Random(seed)
     checker = InvariantChecker()
     async with anyio.create_task_group() as tasks:
-        cluster = Cluster(tasks=tasks, rng=rng, observer=checker)
+        cluster = Cluster(
+            tasks=tasks, rng=rng, observer=checker, instance_cores=instance_cores
+        )
         sim = Simulation(cluster=cluster, checker=checker, rng=rng, tasks=tasks)
         cluster.set_policy(make_policy())
         cluster.begin()
--- a/tests/test_commits.py
+++ b/tests/test_commits.py
@@ -28,6 +28,8 @@
 
 SHARD = Shard()
 KEY = leadership_key(SHARD)
+# Duration of a call to the store.
+CALL_SECONDS = 0.5
 CANCEL = RowKey(table="jobs", part=SHARD.part, key="job/cancel")
 
 
@@ -45,6 +47,7 @@
 
     async def transact(*, transaction, timeout_seconds):
         sent.append(transaction)
+        await anyio.sleep(CALL_SECONDS)
         return answers[len(sent) - 1]
 
     async def commit():
@@ -85,6 +88,22 @@
     check.assertEqual(sent[0], sent[2])
 
 
+def test_a_renewal_counts_from_its_first_attempt():
+    """Guards against leases extended after the permission to do so has run out.
+
+    The commit was applied by its first attempt, whose answer was lost; a candidate may
+    have seen the row unchanged since then.
+    """
+    _, chain, sent = _commit_once([Unknown(), Unknown(), _conflict()])
+    check.assertEqual(len(sent), 3)
+    check.assertEqual(chain.renewed_at_seconds, 0.0)
+    _, chain, _ = _commit_once([Refused(code="busy"), Done(value=11)])
+    check.assertGreaterEqual(chain.renewed_at_seconds, CALL_SECONDS)
+    # When an earlier commit was applied is not known.
+    _, chain, _ = _commit_once([Unknown(), _conflict(sequence=3, version=12)])
+    check.assertEqual(chain.renewed_at_seconds, 0.0)
+
+
 def test_busy_means_that_nothing_was_done():
     """Guards against claims that are withdrawn while the commit is still repeated."""
     outcome, chain, _ = _commit_once([Refused(code="busy"), Done(value=11)])
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -129,6 +129,31 @@
     _check_result(run_simulation(6, faults))
 
 
+def test_strong_and_weak_leaders_alternate():
+    """Guards against orders of two leaders when a strong instance replaces a weak one.
+
+    The load has pauses, in which the leader is idle and is replaced.
+    """
+    for seed in (21, 22, 23):
+        terms = []
+
+        async def faults(sim, terms=terms):
+            strong = sim.cluster.members[0]
+            for _ in range(5):
+                await anyio.sleep(sim.rng.uniform(1, 3))
+                sim.cluster.kill(strong)
+                await anyio.sleep(sim.rng.uniform(1, 3))
+                sim.cluster.start(strong)
+                await anyio.sleep(0.8)
+                terms.append(sim.cluster.leader() and sim.cluster.leader().name)
+
+        checker = run_simulation(
+            seed, faults, jobs_count=8, instance_cores=(2.0, 0.5, 0.5, 0.5)
+        )
+        _check_result(checker)
+        check.assertGreater(len(set(terms)), 1, terms)
+
+
 def test_leader_cut_from_store():
     """Guards against two schedulers whose orders take effect at the same time."""
 
