Decode the configuration only when its row has changed

Change: the decoded configuration is kept by the version of its row. Its bytes are still transferred with every read; following the feed of the table would avoid that.

--- a/kingcuptrack/platform/operators.py
+++ b/kingcuptrack/platform/operators.py
@@ -59,6 +59,15 @@
 def make_operators(store):
     """Return the `Operators` port over a `Store`."""
     policy_key = RowKey(table=_TABLE, part="", key=_CONFIG_KEY)
+    # The row is read about once a second and has hundreds of routes on large
+    # deployments, so that it is decoded only when its version changes.
+    decoded = {"row_version": 0, "policy": None}
+
+    def decode_once(row):
+        if row.version != decoded["row_version"]:
+            decoded["policy"] = decode_policy(row)
+            decoded["row_version"] = row.version
+        return decoded["policy"]
 
     async def read(*, timeout_seconds):
         outcome = await store.read(
@@ -69,7 +78,7 @@
         policy, closed = None, set()
         for row in outcome.value.rows:
             if row.key == policy_key:
-                policy = decode_policy(row)
+                policy = decode_once(row)
             elif row.key.key.startswith(_EVACUATE_PREFIX):
                 closed.add(row.key.key.removeprefix(_EVACUATE_PREFIX))
         policy_read = PolicyRead(policy=policy, closed_data_centres=frozenset(closed))
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -26,7 +26,7 @@
 )
 from kingcuptrack.outcomes import Done, Refused, Unknown
 from kingcuptrack.platform.http_api import decode_job, find_unknown_fields
-from kingcuptrack.platform.operators import decode_policy
+from kingcuptrack.platform.operators import decode_policy, make_operators
 from kingcuptrack.platform.settings import SettingsError, parse_settings
 from kingcuptrack.platform.store import make_store
 from kingcuptrack.platform.workers import make_workers
@@ -227,6 +227,40 @@
         check.assertIsNone(decode(value))
 
 
+def test_an_unchanged_configuration_is_decoded_once():
+    """Guards against hundreds of routes decoded anew with every read.
+
+    A new version and closures beside an unchanged one must still be seen.
+    """
+    rows = []
+
+    async def read_rows(**arguments):
+        return Done(value=RowsRead(rows=tuple(rows), version=9))
+
+    operators = make_operators(SimpleNamespace(read=read_rows))
+
+    def read(version, *closed):
+        value = json.dumps(make_configuration(version=version)).encode()
+        key = RowKey(table="op", part="", key="config")
+        rows[:] = [Row(key=key, value=value, version=version)]
+        for name in closed:
+            key = RowKey(table="op", part="", key=f"evacuate/{name}")
+            rows.append(Row(key=key, value=b"", version=8))
+
+        async def call():
+            return await operators.read(timeout_seconds=1.0)
+
+        return anyio.run(call).value
+
+    first = read(4)
+    second = read(4, "brum")
+    check.assertIs(second.policy, first.policy)
+    check.assertEqual(second.closed_data_centres, {"brum"})
+    third = read(5)
+    check.assertEqual(third.policy.version, 5)
+    check.assertEqual(third.closed_data_centres, set())
+
+
 @settings(max_examples=300, deadline=None)
 @given(st.binary(max_size=200))
 def test_any_body_is_a_job_or_an_error(body):
