Split timing, decision logs, job rows and entities out of the scheduler

Moved without a change of behaviour: plan_timing, decision_log, job_feed, shard_entities.

With it: a commit of more changed jobs than one transaction holds is followed by the next at once, and a job whose progress row is unreadable is left out at a takeover. It was loaded as if it had not begun, so that finished tasks ran again (test_supervision, failed before).

--- /dev/null
+++ b/kingcuptrack/coordination/decision_log.py
@@ -0,0 +1,78 @@
+"""Log lines of the scheduler's decisions."""
+
+import attrs
+
+from ..logs import log_event
+
+
+@attrs.define(kw_only=True, eq=False)
+class DecisionLog:
+    """Logs decisions, each wait only once until the kind of its reason changes."""
+
+    # Reasons already logged for waiting work, by (job id, occurrence, step).
+    _logged_wait_reasons: dict = attrs.field(factory=dict, init=False)
+
+    def log_waits(self, waits, *, workers_count, list_age_seconds):
+        """Log why work is waiting; ``waits`` holds (unit, reason)."""
+        reasons = {}
+        for unit, reason in waits:
+            key = unit.job.submission.job_id, unit.occurrence, unit.step_number
+            kind = reason.partition(",")[0]
+            reasons[key] = kind
+            if self._logged_wait_reasons.get(key) == kind:
+                continue
+            log_event(
+                "wait",
+                outcome="not_placed",
+                job_id=unit.job.submission.job_id,
+                step=unit.step_number,
+                priority=unit.priority,
+                reason=reason,
+                tasks_count=len(unit.indexes),
+                gpus_each=unit.step.resources.gpus_count,
+                workers_count=workers_count,
+                list_age_seconds=round(list_age_seconds, 3),
+            )
+        self._logged_wait_reasons = reasons
+
+
+def log_placement(group, *, waited_seconds, configuration_version):
+    """Log the workers claimed for the placements of a unit."""
+    log_event(
+        "placement",
+        outcome="claimed",
+        job_id=group[0].ref.job_id,
+        step=group[0].ref.step,
+        run=group[0].run_number,
+        workers=[placement.worker_id for placement in group],
+        reason=group[0].reason,
+        waited_seconds=round(waited_seconds, 3),
+        configuration=configuration_version,
+    )
+
+
+def log_stop(run, reason):
+    """Log that a run is to be stopped."""
+    log_event(
+        "preempt",
+        outcome="stopping",
+        task=str(run.ref),
+        run=run.number,
+        worker_id=run.worker_id,
+        priority=run.priority,
+        reason=reason,
+    )
+
+
+def log_final_state(job, *, wall_seconds):
+    """Log the stored final state of a job, once."""
+    if job.is_final_logged:
+        return
+    job.is_final_logged = True
+    log_event(
+        "job",
+        outcome=job.progress.state.value,
+        job_id=job.submission.job_id,
+        queue=job.submission.queue,
+        seconds=round(wall_seconds - job.submission.accepted_at_seconds, 3),
+    )
--- /dev/null
+++ b/kingcuptrack/coordination/job_feed.py
@@ -0,0 +1,137 @@
+"""Takes the stored jobs over into the shard state, and follows new ones and cancels."""
+
+import anyio
+
+from ..logs import log_event
+from ..outcomes import Done, Refused
+from ..state.records import RecordError, decode_progress, decode_submission
+from .ports import HISTORY_LOST
+from .rows import JOBS_TABLE, PROGRESS_TABLE, parse_job_key, read_table
+from .supervision import describe_error
+
+# Timeout of reads of whole tables, which can have some megabytes.
+READ_TIMEOUT_SECONDS = 2.0
+# Pause after a read without an answer, so that an outage causes only a few reads per
+# second.
+RETRY_SECONDS = 0.15
+# Longest wait of one read of the change feed, which is then repeated.
+FEED_WAIT_SECONDS = 5.0
+
+
+class JobFeed:
+    """Jobs and cancels of a shard, as read from the store.
+
+    Parameters
+    ----------
+    store : Store
+    clocks : Clocks
+    shard : Shard
+    chain : CommitChain
+    shard_state : ShardState
+    note_changes : callable
+        Called after rows were applied.
+    """
+
+    def __init__(self, *, store, clocks, shard, chain, shard_state, note_changes):
+        self._store = store
+        self._clocks = clocks
+        self._shard = shard
+        self._chain = chain
+        self._shard_state = shard_state
+        self._note_changes = note_changes
+        self._version = 0
+
+    async def load(self):
+        """Load the jobs and the progress that the previous scheduler stored."""
+        jobs = await self._read_until_done(JOBS_TABLE)
+        # Progress is read after the jobs, so that the job of every progress row is
+        # known. Only the leader writes progress, so that it cannot change meanwhile.
+        progress = await self._read_until_done(PROGRESS_TABLE)
+        self._version = jobs.version
+        progress_by_id, unreadable_ids = {}, set()
+        for row in progress.rows:
+            try:
+                progress_by_id[row.key.key] = decode_progress(row.value)
+            except RecordError as error:
+                unreadable_ids.add(row.key.key)
+                log_event("row", outcome="unreadable", row=str(row.key), reason=error)
+        self._apply_rows(jobs.rows, progress_by_id, unreadable_ids)
+        log_event(
+            "takeover",
+            outcome="loaded",
+            epoch=self._chain.epoch,
+            jobs_count=len(self._shard_state.jobs),
+            finished_count=len(self._shard_state.finished_jobs),
+            version=jobs.version,
+        )
+
+    async def follow(self):
+        """Apply new jobs and cancels until cancelled."""
+        while True:
+            outcome = await self._store.follow(
+                table=JOBS_TABLE,
+                after_version=self._version,
+                wait_seconds=FEED_WAIT_SECONDS,
+            )
+            if isinstance(outcome, Refused) and outcome.code == HISTORY_LOST:
+                log_event("feed", outcome="history_lost", version=self._version)
+                outcome = await self._read(JOBS_TABLE)
+            if not isinstance(outcome, Done):
+                await anyio.sleep(RETRY_SECONDS)
+                continue
+            self._version = max(self._version, outcome.value.version)
+            if outcome.value.rows:
+                self._apply_rows(outcome.value.rows, {}, set())
+
+    async def _read(self, table):
+        return await read_table(
+            self._store,
+            table,
+            self._shard.part,
+            timeout_seconds=READ_TIMEOUT_SECONDS,
+        )
+
+    async def _read_until_done(self, table):
+        while True:
+            outcome = await self._read(table)
+            if isinstance(outcome, Done):
+                return outcome.value
+            # The empty commit renews the leadership until a read is answered.
+            await self._chain.commit(expect={}, puts={})
+            await anyio.sleep(RETRY_SECONDS)
+
+    def _apply_rows(self, rows, progress_by_id, unreadable_ids):
+        cancelled_ids = {
+            job_id
+            for job_id, is_cancel in (
+                parse_job_key(row.key.key) for row in rows if not row.is_removed
+            )
+            if is_cancel
+        }
+        for row in rows:
+            job_id, is_cancel = parse_job_key(row.key.key)
+            if row.is_removed or is_cancel or row.key.part != self._shard.part:
+                continue
+            try:
+                if job_id in unreadable_ids:
+                    # Without its progress, tasks that are done would run again.
+                    raise RecordError("the progress of the job is unreadable")
+                self._shard_state.add_job(
+                    decode_submission(row.value),
+                    now_seconds=self._clocks.steady(),
+                    progress=progress_by_id.get(job_id),
+                    is_cancelled=job_id in cancelled_ids,
+                )
+            except RecordError as error:
+                log_event("row", outcome="unreadable", row=str(row.key), reason=error)
+            except Exception as error:  # rows that contradict each other
+                log_event(
+                    "row",
+                    outcome="unusable",
+                    row=str(row.key),
+                    reason=describe_error(error),
+                )
+        for job_id in sorted(cancelled_ids):
+            if self._shard_state.cancel_job(job_id):
+                log_event("cancel", outcome="noted", job_id=job_id)
+        self._note_changes()
--- a/kingcuptrack/coordination/scheduler.py
+++ b/kingcuptrack/coordination/scheduler.py
@@ -10,22 +10,24 @@
 import anyio
 
 from ..logs import log_event
-from ..outcomes import Done, Refused
+from ..outcomes import Done
 from ..state.departures import find_runs_past_departure
 from ..state.planner import DEFAULT_RULES, make_plan
-from ..state.records import RecordError, decode_progress, decode_submission
 from ..state.scheduling_units import PlanningPolicy, is_usable
-from ..state.shard_state import RunPhase, ShardState
+from ..state.shard_entities import RunPhase
+from ..state.shard_state import ShardState
 from ..state.stragglers import find_stragglers
 from .batches import JOBS_PER_COMMIT, make_batch
 from .commits import Committed, ConditionFailed, LeadershipLostError
+from .decision_log import DecisionLog, log_final_state, log_placement, log_stop
+from .job_feed import JobFeed
 from .leases import LeaseTracker
 from .order_window import OrderWindow
 from .own_delay import OwnDelay
-from .ports import HISTORY_LOST
-from .rows import JOBS_TABLE, PROGRESS_TABLE, parse_job_key, read_table
+from .plan_timing import REPLAN_INTERVAL_SECONDS, PlanTiming
+from .rows import JOBS_TABLE, parse_job_key
 from .sessions import Session, poll_wait_seconds
-from .supervision import describe_error, supervise
+from .supervision import supervise
 
 # Interval between commits without changes, which renew the leadership row; while there
 # are jobs, it is rounded to planning intervals. Two renewals must fit into
@@ -35,40 +37,19 @@
 # waits this long plus the longest lease before it takes the runs of an unreachable
 # worker as ended.
 COMMIT_AGE_LIMIT_SECONDS = 6.0
-# Timeout of reads of the worker list and of whole tables, which can have some
-# megabytes.
-READ_TIMEOUT_SECONDS = 2.0
-# Pause after a read without an answer, so that an outage causes only a few reads per
-# second.
-RETRY_SECONDS = 0.15
-# Longest wait of one read of the change feed, which is then repeated.
-FEED_WAIT_SECONDS = 5.0
+# Timeout of reads of the worker list, which can have some hundred kilobytes.
+LIST_TIMEOUT_SECONDS = 2.0
 # Interval between reads of the worker list: a third of the time within which a leaving
 # worker must stop getting new work.
 WORKER_LIST_INTERVAL_SECONDS = 0.7
 # Well below `lease_seconds`, since it delays the restart of tasks after a lapse.
 LAPSE_CHECK_INTERVAL_SECONDS = 0.2
-# Interval between plans without an event; the waiting time of jobs changes the plan.
-REPLAN_INTERVAL_SECONDS = 0.25
 # Interval between searches for runs that hang, are slow or whose worker leaves.
 RUN_CHECK_INTERVAL_SECONDS = 0.25
-# Largest fraction of the time that planning may take; the rest is left for renewals,
-# orders and polls.
-PLANNING_SHARE = 0.4
 # Fencing tokens of one epoch; a session raises its token to fence unanswered orders.
 TOKENS_PER_EPOCH = 1 << 20
 
 
-def plan_pause_seconds(plan_seconds):
-    """Return the time after a plan in which no further plan is made.
-
-    It keeps planning below `PLANNING_SHARE` of the time, but lasts no longer than
-    `REPLAN_INTERVAL_SECONDS`, so that urgent work does not wait for it.
-    """
-    pause_seconds = plan_seconds * (1 - PLANNING_SHARE) / PLANNING_SHARE
-    return min(pause_seconds, REPLAN_INTERVAL_SECONDS)
-
-
 class Scheduler:
     """Plans runs, commits them and orders workers to start and stop them.
 
@@ -119,22 +100,24 @@
         self._sessions = {}
         self._task_group = None
         self._commit_trigger = anyio.Event()
-        # `ShardState.placement_changes_count` at the last plan, when a plan is due
-        # without a change, and the earliest time of the next plan.
-        self._planned_changes_count = -1
-        self._replan_at_seconds = float("-inf")
-        self._plan_from_seconds = float("-inf")
+        self._job_feed = JobFeed(
+            store=self.store,
+            clocks=self.clocks,
+            shard=shard,
+            chain=chain,
+            shard_state=self.shard_state,
+            note_changes=self._note_job_rows,
+        )
+        self._plan_timing = PlanTiming(shard_state=self.shard_state)
+        self._decision_log = DecisionLog()
         self._check_runs_at_seconds = float("-inf")
         # Sessions with ends that the worker may not forget yet.
         self._sessions_with_ends = set()
         self._planning_policy_key = None
         self._kept_planning_policy = None
-        self._feed_version = 0
         self._stored_counts = None
         self._started_at_seconds = self.clocks.steady()
         self._listed_at_seconds = float("-inf")
-        # Reasons already logged for waiting work, by (job id, occurrence, step).
-        self._logged_wait_reasons = {}
 
     async def run(self):
         """Schedule until another instance takes over.
@@ -143,12 +126,15 @@
         ------
         LeadershipLostError
         """
-        await self._load()
+        await self._job_feed.load()
+        # Which runs exist on these workers is unknown until they answer.
+        for worker_id in list(self.shard_state.workers):
+            self._open_session(worker_id)
         async with anyio.create_task_group() as task_group:
             self._task_group = task_group
             for name, function in (
                 ("own_delay", self.own_delay.run),
-                ("job_feed", self._follow_jobs),
+                ("job_feed", self._job_feed.follow),
                 ("worker_list", self._follow_workers),
                 ("lapsed_runs", self._end_lapsed_runs),
             ):
@@ -222,7 +208,7 @@
         self._order_window.note_settled(self.clocks.steady(), is_sent=is_sent)
         if self._is_window_full and self._order_window.has_room(1):
             self._is_window_full = False
-            self._planned_changes_count = -1
+            self._plan_timing.request()
             self._request_commit()
 
     def poll_wait_seconds(self):
@@ -238,109 +224,13 @@
         """Record the duration of an operation in the metrics."""
         self._metrics.observe(name, seconds)
 
-    async def _load(self):
-        """Load the jobs and the progress that the previous scheduler stored."""
-        jobs = await self._read_until_done(JOBS_TABLE)
-        # Progress is read after the jobs, so that the job of every progress row is
-        # known. Only the leader writes progress, so that it cannot change meanwhile.
-        progress = await self._read_until_done(PROGRESS_TABLE)
-        self._feed_version = jobs.version
-        progress_by_id = {}
-        for row in progress.rows:
-            try:
-                progress_by_id[row.key.key] = decode_progress(row.value)
-            except RecordError as error:
-                log_event("row", outcome="unreadable", row=str(row.key), reason=error)
-        self._apply_job_rows(jobs.rows, progress_by_id)
-        log_event(
-            "takeover",
-            outcome="loaded",
-            epoch=self._chain.epoch,
-            jobs_count=len(self.shard_state.jobs),
-            finished_count=len(self.shard_state.finished_jobs),
-            version=jobs.version,
-        )
-        # Which runs exist on these workers is unknown until they answer.
-        for worker_id in list(self.shard_state.workers):
-            self._open_session(worker_id)
-
-    async def _read_until_done(self, table):
-        while True:
-            outcome = await read_table(
-                self.store,
-                table,
-                self._shard.part,
-                timeout_seconds=READ_TIMEOUT_SECONDS,
-            )
-            if isinstance(outcome, Done):
-                return outcome.value
-            # The empty commit renews the leadership until a read is answered.
-            await self._chain.commit(expect={}, puts={})
-            await anyio.sleep(RETRY_SECONDS)
-
-    def _apply_job_rows(self, rows, progress_by_id):
-        now_seconds = self.clocks.steady()
-        cancelled = {
-            job_id
-            for job_id, is_cancel in (
-                parse_job_key(row.key.key) for row in rows if not row.is_removed
-            )
-            if is_cancel
-        }
-        for row in rows:
-            job_id, is_cancel = parse_job_key(row.key.key)
-            if row.is_removed or is_cancel or row.key.part != self._shard.part:
-                continue
-            try:
-                submission = decode_submission(row.value)
-            except RecordError as error:
-                log_event("row", outcome="unreadable", row=str(row.key), reason=error)
-                continue
-            try:
-                self.shard_state.add_job(
-                    submission,
-                    now_seconds=now_seconds,
-                    progress=progress_by_id.get(job_id),
-                    is_cancelled=job_id in cancelled,
-                )
-            except Exception as error:  # rows that contradict each other
-                log_event(
-                    "row",
-                    outcome="unusable",
-                    row=str(row.key),
-                    reason=describe_error(error),
-                )
-        for job_id in sorted(cancelled):
-            if self.shard_state.cancel_job(job_id):
-                log_event("cancel", outcome="noted", job_id=job_id)
+    def _note_job_rows(self):
         self._wake_stopping_sessions()
-
-    async def _follow_jobs(self):
-        while True:
-            outcome = await self.store.follow(
-                table=JOBS_TABLE,
-                after_version=self._feed_version,
-                wait_seconds=FEED_WAIT_SECONDS,
-            )
-            if isinstance(outcome, Refused) and outcome.code == HISTORY_LOST:
-                log_event("feed", outcome="history_lost", version=self._feed_version)
-                outcome = await read_table(
-                    self.store,
-                    JOBS_TABLE,
-                    self._shard.part,
-                    timeout_seconds=READ_TIMEOUT_SECONDS,
-                )
-            if not isinstance(outcome, Done):
-                await anyio.sleep(RETRY_SECONDS)
-                continue
-            self._feed_version = max(self._feed_version, outcome.value.version)
-            if outcome.value.rows:
-                self._apply_job_rows(outcome.value.rows, {})
-                self._request_commit()
+        self._request_commit()
 
     async def _follow_workers(self):
         while True:
-            outcome = await self.workers.list(timeout_seconds=READ_TIMEOUT_SECONDS)
+            outcome = await self.workers.list(timeout_seconds=LIST_TIMEOUT_SECONDS)
             if isinstance(outcome, Done):
                 self._listed_at_seconds = self.clocks.steady()
                 self.shard_state.set_worker_entries(
@@ -411,30 +301,12 @@
     def _commit_wait_seconds(self):
         if not self.shard_state.jobs:
             return RENEWAL_INTERVAL_SECONDS
-        if self._has_placement_changes():
-            plan_at_seconds = self._plan_from_seconds
-        else:
-            plan_at_seconds = self._replan_at_seconds
-        wait_seconds = plan_at_seconds - self.clocks.steady()
-        return min(max(0.0, wait_seconds), REPLAN_INTERVAL_SECONDS)
-
-    def _has_placement_changes(self):
-        changes_count = self.shard_state.placement_changes_count
-        return changes_count != self._planned_changes_count
-
-    def _is_plan_due(self):
-        """Return whether to plan now.
-
-        Events that come while a plan is not allowed yet are planned for together.
-        """
-        now_seconds = self.clocks.steady()
-        if now_seconds < self._plan_from_seconds:
-            return False
-        return self._has_placement_changes() or now_seconds >= self._replan_at_seconds
+        return self._plan_timing.wait_seconds(self.clocks.steady())
 
     async def _commit_once(self):
         """Plan and commit; without changes, commit only if a renewal is due."""
-        claims = self._plan() if self._is_plan_due() else []
+        is_plan_due = self._plan_timing.is_due(self.clocks.steady())
+        claims = self._plan() if is_plan_due else []
         batch = make_batch(
             self.shard_state,
             claims,
@@ -471,14 +343,14 @@
         started_at_seconds = self.clocks.steady()
         if self._policy_watch.policy is None:
             # Without the configuration, the guarantees are unknown.
-            self._plan_from_seconds = started_at_seconds + REPLAN_INTERVAL_SECONDS
+            self._plan_timing.postpone(started_at_seconds)
             return []
         if started_at_seconds >= self._check_runs_at_seconds:
             self._check_runs_at_seconds = (
                 started_at_seconds + RUN_CHECK_INTERVAL_SECONDS
             )
             self._stop_slow_or_departing_runs(started_at_seconds)
-        self._planned_changes_count = self.shard_state.placement_changes_count
+        self._plan_timing.begin()
         plan = make_plan(
             self.shard_state,
             self._planning_policy(),
@@ -486,15 +358,19 @@
             wall_seconds=self.clocks.wall(),
             rules=self._rules,
         )
-        self._log_waits(plan.waits)
+        self._decision_log.log_waits(
+            plan.waits,
+            workers_count=len(self.shard_state.workers),
+            list_age_seconds=started_at_seconds - self._listed_at_seconds,
+        )
         for run, reason in plan.stops:
             self._stop(run, reason)
         claims = self._claim_groups(plan.groups, started_at_seconds)
         ended_at_seconds = self.clocks.steady()
-        plan_seconds = ended_at_seconds - started_at_seconds
-        self._plan_from_seconds = ended_at_seconds + plan_pause_seconds(plan_seconds)
-        self._replan_at_seconds = ended_at_seconds + REPLAN_INTERVAL_SECONDS
-        self._metrics.observe("plan", plan_seconds)
+        self._plan_timing.finish(
+            started_at_seconds=started_at_seconds, now_seconds=ended_at_seconds
+        )
+        self._metrics.observe("plan", ended_at_seconds - started_at_seconds)
         return claims
 
     def _claim_groups(self, groups, now_seconds):
@@ -505,7 +381,7 @@
             job_ids.add(group[0].ref.job_id)
             if len(job_ids) > JOBS_PER_COMMIT:
                 # The rest is planned again after this commit.
-                self._planned_changes_count = -1
+                self._plan_timing.request()
                 break
             if not self._order_window.has_room(len(group), claimed_count=len(claims)):
                 # The rest is planned again when orders have been sent.
@@ -520,7 +396,12 @@
                     is_remote=placement.is_remote,
                 )
                 claims.append(run)
-            self._log_placement(group)
+            job = self.shard_state.jobs[group[0].ref.job_id]
+            log_placement(
+                group,
+                waited_seconds=now_seconds - job.ready_since_seconds,
+                configuration_version=self._policy_watch.policy.version,
+            )
         return claims
 
     def _stop_slow_or_departing_runs(self, now_seconds):
@@ -538,56 +419,9 @@
 
     def _stop(self, run, reason):
         self.shard_state.request_stop(run, reason)
-        log_event(
-            "preempt",
-            outcome="stopping",
-            task=str(run.ref),
-            run=run.number,
-            worker_id=run.worker_id,
-            priority=run.priority,
-            reason=reason,
-        )
+        log_stop(run, reason)
         self._wake_session(run.worker_id)
 
-    def _log_waits(self, waits):
-        """Log why work is waiting, once until the kind of the reason changes."""
-        reasons = {}
-        for unit, reason in waits:
-            key = unit.job.submission.job_id, unit.occurrence, unit.step_number
-            kind = reason.partition(",")[0]
-            reasons[key] = kind
-            if self._logged_wait_reasons.get(key) == kind:
-                continue
-            log_event(
-                "wait",
-                outcome="not_placed",
-                job_id=unit.job.submission.job_id,
-                step=unit.step_number,
-                priority=unit.priority,
-                reason=reason,
-                tasks_count=len(unit.indexes),
-                gpus_each=unit.step.resources.gpus_count,
-                workers_count=len(self.shard_state.workers),
-                list_age_seconds=round(
-                    self.clocks.steady() - self._listed_at_seconds, 3
-                ),
-            )
-        self._logged_wait_reasons = reasons
-
-    def _log_placement(self, group):
-        job = self.shard_state.jobs[group[0].ref.job_id]
-        log_event(
-            "placement",
-            outcome="claimed",
-            job_id=group[0].ref.job_id,
-            step=group[0].ref.step,
-            run=group[0].run_number,
-            workers=[placement.worker_id for placement in group],
-            reason=group[0].reason,
-            waited_seconds=round(self.clocks.steady() - job.ready_since_seconds, 3),
-            configuration=self._policy_watch.policy.version,
-        )
-
     def _finish_batch(self, batch):
         now_seconds = self.clocks.steady()
         self._stored_counts = batch.counts
@@ -600,23 +434,12 @@
         for job_id in batch.job_ids:
             job = self.shard_state.jobs[job_id]
             if job.progress.is_final and job_id not in self.shard_state.dirty_job_ids:
-                self._log_final(job)
+                log_final_state(job, wall_seconds=self.clocks.wall())
         if batch.removes:
             self.shard_state.forget_finished_job(parse_job_key(batch.removes[0].key)[0])
         self.shard_state.move_finished_jobs(now_seconds=now_seconds)
-
-    def _log_final(self, job):
-        if not job.is_final_logged:
-            job.is_final_logged = True
-            log_event(
-                "job",
-                outcome=job.progress.state.value,
-                job_id=job.submission.job_id,
-                queue=job.submission.queue,
-                seconds=round(
-                    self.clocks.wall() - job.submission.accepted_at_seconds, 3
-                ),
-            )
+        if self.shard_state.dirty_job_ids:
+            self._request_commit()
 
     def _start(self, run, *, now_seconds):
         if run.is_stopping:
@@ -672,7 +495,7 @@
         if (
             self.shard_state.dirty_job_ids
             or self._sessions_with_ends
-            or self._has_placement_changes()
+            or self._plan_timing.has_changes()
         ):
             self._request_commit()
 
--- a/kingcuptrack/coordination/sessions.py
+++ b/kingcuptrack/coordination/sessions.py
@@ -7,7 +7,7 @@
 
 from ..logs import log_event
 from ..outcomes import Done, Refused
-from ..state.shard_state import RunPhase
+from ..state.shard_entities import RunPhase
 from .leases import LeaseTracker
 from .ports import FENCED, PollRequest, StartOrder
 from .supervision import supervise
--- /dev/null
+++ b/kingcuptrack/state/shard_entities.py
@@ -0,0 +1,129 @@
+"""Jobs, runs and workers as the scheduler of a shard knows them."""
+
+from enum import StrEnum
+
+import attrs
+
+from .progress import JobProgress
+from .reports import WorkerEntry
+from .steps import NO_RESOURCES, Resources, Submission, TaskRef
+
+
+class RunPhase(StrEnum):
+    """What the scheduler knows about a run."""
+
+    CLAIMED = "claimed"  # not committed; no start order was sent
+    ORDERED = "ordered"  # committed; the start order may have been sent
+    UNSETTLED = "unsettled"  # start order unanswered, or sent by an earlier leader
+    CONFIRMED = "confirmed"  # the worker has accepted or listed the run
+
+
+@attrs.define(kw_only=True, eq=False)
+class Run:
+    """One run of a task at a worker.
+
+    ``is_remote`` means that the run is outside the rack where it would be fastest,
+    ``is_start_observed`` that this scheduler started it without a checkpoint, so that
+    its whole run time is known. The worker first reported progress at
+    ``progress_since_seconds``, with ``first_percent``; ``percent`` last changed at
+    ``percent_changed_at_seconds``. ``confirmed_clock_seconds`` is the worker's clock
+    when it confirmed the run. ``token`` is the fencing token of its start order.
+    """
+
+    ref: TaskRef
+    number: int
+    worker_id: str
+    resources: Resources
+    priority: int
+    estimate_seconds: float
+    has_checkpoints: bool = False
+    is_remote: bool = False
+    is_start_observed: bool = False
+    phase: RunPhase = RunPhase.CLAIMED
+    claimed_at_seconds: float = 0.0
+    confirmed_clock_seconds: float = 0.0
+    token: int = 0
+    checkpoint: str = ""
+    is_progress_known: bool = False
+    first_percent: int = 0
+    progress_since_seconds: float = 0.0
+    percent: int = 0
+    percent_changed_at_seconds: float = 0.0
+    is_stopping: bool = False
+    stop_reason: str = ""
+
+    @property
+    def key(self):
+        """Identity of the run."""
+        return self.ref, self.number
+
+
+@attrs.define(kw_only=True, eq=False)
+class Worker:
+    """A worker, its runs and its health.
+
+    ``entry`` is None while the platform does not list the worker; ``last_entry`` is
+    its latest entry. ``life`` is the incarnation of the worker that answered last, 0
+    if the worker has not answered since this scheduler took over. ``failed_job_ids``
+    are the jobs of its latest failures, cleared by a success.
+    ``leaves_at_seconds`` is the earliest time at which a draining worker leaves.
+    ``used`` and ``step_counts``, the number of runs by (job id, occurrence, step), are
+    kept up to date with ``runs``.
+    """
+
+    worker_id: str
+    entry: WorkerEntry | None = None
+    last_entry: WorkerEntry | None = None
+    life: int = 0
+    answered_at_seconds: float = float("-inf")
+    runs: dict[tuple[TaskRef, int], Run] = attrs.field(factory=dict)
+    used: Resources = NO_RESOURCES
+    step_counts: dict[tuple, int] = attrs.field(factory=dict)
+    failed_job_ids: set[str] = attrs.field(factory=set)
+    suspect_until_seconds: float = float("-inf")
+    has_unknown_runs: bool = False
+    leaves_at_seconds: float | None = None
+
+    @property
+    def free(self):
+        """Capacity that is not occupied by runs."""
+        return self.entry.capacity.minus(self.used)
+
+
+@attrs.define(kw_only=True, eq=False)
+class Job:
+    """A job, its progress and its runs.
+
+    ``restarts`` counts restarts of stragglers by (occurrence, step). ``ready_units``
+    are the units that are ready to start; None after a change that may affect them.
+    """
+
+    submission: Submission
+    progress: JobProgress = attrs.field(factory=JobProgress)
+    is_cancelled: bool = False
+    has_started: bool = False
+    ready_since_seconds: float = 0.0
+    runs: dict[tuple[TaskRef, int], Run] = attrs.field(factory=dict)
+    failed_worker_ids: set[str] = attrs.field(factory=set)
+    restarts: dict[tuple[int, int], int] = attrs.field(factory=dict)
+    is_final_logged: bool = False
+    ready_units: tuple | None = None
+
+    def step_runs(self, occurrence, step_number):
+        """Return the runs of one step of one occurrence."""
+        return [
+            run
+            for run in self.runs.values()
+            if run.ref.occurrence == occurrence and run.ref.step == step_number
+        ]
+
+
+@attrs.define(kw_only=True)
+class FinishedJob:
+    """A job whose stored state is final.
+
+    ``known_since_seconds`` is when this scheduler learned of the final state.
+    """
+
+    known_since_seconds: float
+    is_cancelled: bool
--- a/tests/test_shard_state.py
+++ b/tests/test_shard_state.py
@@ -2,7 +2,7 @@
 
 from kingcuptrack.state.progress import JobProgress, JobState
 from kingcuptrack.state.scheduling_units import find_ready_units
-from kingcuptrack.state.shard_state import RunPhase
+from kingcuptrack.state.shard_entities import RunPhase
 from kingcuptrack.state.steps import NO_RESOURCES
 
 from .shard_states import (
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -12,6 +12,8 @@
 from kingcuptrack.coordination import batches, scheduler
 from kingcuptrack.coordination.admissions import JobRequest
 from kingcuptrack.coordination.commits import LeadershipLostError
+from kingcuptrack.coordination.ports import Shard
+from kingcuptrack.coordination.rows import progress_key
 from kingcuptrack.coordination.supervision import describe_error, supervise
 from kingcuptrack.outcomes import Done
 from kingcuptrack.state.ordering import order_key
@@ -170,6 +172,49 @@
     check.assertEqual(set(states.values()), {JobState.COMPLETED})
 
 
+def test_a_job_with_unreadable_progress_is_not_run_again():
+    """Guards against a second run of finished work after a takeover.
+
+    Without its progress row, a job looks as if it had not begun.
+    """
+    job_id = BAD_JOB_ID
+    starts = []
+
+    class StartRecorder(NullObserver):
+        def note_start(self, worker, run, order):
+            starts.append(order.ref.job_id)
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            cluster = Cluster(
+                tasks=tasks,
+                rng=random.Random(1),
+                observer=StartRecorder(),
+                instances_count=2,
+            )
+            cluster.set_policy(make_policy())
+            cluster.begin()
+            await anyio.sleep(4.0)
+            service = cluster.members[0].instance.admissions
+            steps = (make_step(tasks=2, seconds=1.0),)
+            cluster.fleet.jobs[job_id] = steps, 1.0, 0
+            caller = service.authorise(host=HOST, path=f"/batch/{job_id}", key=KEY)
+            request = JobRequest(spec="", steps=steps, digest=job_id)
+            await service.submit(caller.value, job_id, request, timeout_seconds=2.0)
+            await anyio.sleep(4.0)
+            cluster.store.put(progress_key(Shard(), job_id), b"")
+            cluster.kill(cluster.leader())
+            await anyio.sleep(12.0)
+            tasks.cancel_scope.cancel()
+
+    logger.disable("kingcuptrack")
+    try:
+        run_virtual(run)
+    finally:
+        logger.enable("kingcuptrack")
+    check.assertEqual(starts, [job_id] * 2)
+
+
 def test_the_end_of_a_term_is_not_an_unexpected_error():
     """Guards against a superseded scheduler whose tasks start again."""
 
