Acknowledge ends in the order in which they were reported

Cause: sessions with ends were kept in a set of objects, so that seeds of the simulations did not repeat.

The test of unreadable rows counted two lines of the configuration, which is now logged once, and never looked at the registry. It wants a line of each now.

--- a/kingcuptrack/coordination/scheduler.py
+++ b/kingcuptrack/coordination/scheduler.py
@@ -111,8 +111,9 @@
         self._plan_timing = PlanTiming(shard_state=self.shard_state)
         self._decision_log = DecisionLog()
         self._check_runs_at_seconds = float("-inf")
-        # Sessions with ends that the worker may not forget yet.
-        self._sessions_with_ends = set()
+        # Sessions with ends that the worker may not forget yet, as keys in the order of
+        # their ends.
+        self._sessions_with_ends = {}
         self._planning_policy_key = None
         self._kept_planning_policy = None
         self._stored_counts = None
@@ -169,7 +170,7 @@
             if end.number <= session.received_end:
                 continue
             session.received_end = end.number
-            self._sessions_with_ends.add(session)
+            self._sessions_with_ends[session] = True
             self._metrics.count_run_end(end.how)
             log_event(
                 "end",
@@ -428,7 +429,7 @@
         for session, (end_number, life) in batch.ends.items():
             session.acknowledge(end_number, life)
             if session.received_end == end_number:
-                self._sessions_with_ends.discard(session)
+                del self._sessions_with_ends[session]
         for run in batch.claims:
             self._start(run, now_seconds=now_seconds)
         for job_id in batch.job_ids:
--- a/tests/test_load_rules.py
+++ b/tests/test_load_rules.py
@@ -105,3 +105,19 @@
             kind for kind, verdict in verdicts(DEFAULT_RULES, shape) if verdict == "not"
         ]
         check.assertEqual(unserved, [])
+
+
+def test_a_seed_repeats():
+    """Guards against decisions in the order of a set.
+
+    A failure could not be played again with its seed.
+    """
+    results = [
+        [
+            (result.kind, result.seconds)
+            for result in play(DEFAULT_RULES, SHORT_GANGS, SHORT_GANGS_SEEDS[0])
+        ]
+        for _ in range(4)
+    ]
+    for other in results[1:]:
+        check.assertEqual(other, results[0])
--- a/tests/test_platform_program.py
+++ b/tests/test_platform_program.py
@@ -234,10 +234,17 @@
                 "remove": [],
             },
         )
-        wait_until(
-            lambda: instance.process.log_text().count('"unreadable"') >= 2,
-            "both rows are logged",
-        )
+        for event, outcome in (
+            ("configuration", "unreadable"),
+            ("registry", "unusable"),
+        ):
+            wait_until(
+                lambda event=event, outcome=outcome: any(
+                    f'"event": "{event}"' in line and f'"outcome": "{outcome}"' in line
+                    for line in instance.process.log_text().splitlines()
+                ),
+                f"the row of the {event} is logged",
+            )
         path = f"/urgent/{JOB_ID(8)}"
         status, _ = instance.send_request("POST", path, make_job())
         # The stored configuration cannot be decoded, so no job may be accepted.
