Share the plays on the in-memory cluster between tests

Four test modules each had their own start of a cluster on a virtual clock and their own submission.

--- /dev/null
+++ b/tests/cluster_plays.py
@@ -0,0 +1,59 @@
+"""Fixtures: plays of single jobs on the in-memory cluster, on a virtual clock."""
+
+import random
+
+import anyio
+from loguru import logger
+
+from emulator.cluster import Cluster
+from emulator.platform_service import NullObserver
+from emulator.virtual_clock import run_virtual
+from kingcuptrack.coordination.admissions import JobRequest
+from kingcuptrack.outcomes import Done
+
+from .simulation import HOST, KEY, make_policy
+
+# Time in which an instance leads and all workers have answered.
+START_SECONDS = 4.0
+
+
+def play_cluster(function, **cluster_options):
+    """Call an async function with a started cluster; returns its result.
+
+    ``cluster_options`` are parameters of `Cluster`; the observer ignores every event by
+    default.
+    """
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            cluster = Cluster(
+                tasks=tasks,
+                rng=random.Random(1),
+                **{"observer": NullObserver(), **cluster_options},
+            )
+            cluster.set_policy(make_policy())
+            cluster.begin()
+            await anyio.sleep(START_SECONDS)
+            result = await function(cluster)
+            tasks.cancel_scope.cancel()
+        return result
+
+    logger.disable("kingcuptrack")
+    try:
+        return run_virtual(run)
+    finally:
+        logger.enable("kingcuptrack")
+
+
+async def submit_job(member, cluster, job_id, step, *, run_seconds, queue="batch"):
+    """Submit a job with one step at an instance; returns the caller.
+
+    Each of its tasks runs for ``run_seconds``.
+    """
+    cluster.fleet.jobs[job_id] = (step,), run_seconds, 0
+    admissions = member.instance.admissions
+    caller = admissions.authorise(host=HOST, path=f"/{queue}/{job_id}", key=KEY).value
+    request = JobRequest(spec="", steps=(step,), digest=job_id)
+    outcome = await admissions.submit(caller, job_id, request, timeout_seconds=2.0)
+    assert isinstance(outcome, Done), outcome
+    return caller
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -1,18 +1,9 @@
 """Which instance leads when instances have different processors."""
 
-import random
-
 import anyio
-from loguru import logger
-
-from emulator.cluster import Cluster
-from emulator.platform_service import NullObserver
-from emulator.virtual_clock import run_virtual
-from kingcuptrack.coordination.admissions import JobRequest
-from kingcuptrack.outcomes import Done
 
+from .cluster_plays import play_cluster, submit_job
 from .shard_states import make_step
-from .simulation import HOST, KEY, make_policy
 from .support import check, function_tests
 
 load_tests = function_tests(__name__)
@@ -26,27 +17,7 @@
 
 def run_cluster(function, *cores):
     """Run an async function with a started cluster of instances with these cores."""
-
-    async def run():
-        async with anyio.create_task_group() as tasks:
-            cluster = Cluster(
-                tasks=tasks,
-                rng=random.Random(1),
-                observer=NullObserver(),
-                instances_count=len(cores),
-                instance_cores=cores,
-            )
-            cluster.set_policy(make_policy())
-            cluster.begin()
-            await anyio.sleep(4.0)
-            await function(cluster)
-            tasks.cancel_scope.cancel()
-
-    logger.disable("kingcuptrack")
-    try:
-        run_virtual(run)
-    finally:
-        logger.enable("kingcuptrack")
+    play_cluster(function, instances_count=len(cores), instance_cores=cores)
 
 
 async def wait_for_leader(cluster):
@@ -62,18 +33,6 @@
     return cluster.leader().instance.candidate._chain.epoch
 
 
-async def submit_long_job(cluster, member):
-    """Submit a job that runs for the rest of a test."""
-    job_id = "00000000000000aa"
-    steps = (make_step(seconds=200.0),)
-    cluster.fleet.jobs[job_id] = steps, 200.0, 0
-    admissions = member.instance.admissions
-    caller = admissions.authorise(host=HOST, path=f"/batch/{job_id}", key=KEY).value
-    request = JobRequest(spec="", steps=steps, digest="digest")
-    outcome = await admissions.submit(caller, job_id, request, timeout_seconds=2.0)
-    check.assertIsInstance(outcome, Done)
-
-
 def test_a_strong_instance_replaces_an_idle_weak_leader():
     """Guards against a large deployment led by one of its weakest machines."""
 
@@ -132,7 +91,8 @@
         cluster.kill(strong)
         leader = await wait_for_leader(cluster)
         check.assertIs(leader, weak)
-        await submit_long_job(cluster, weak)
+        step = make_step(seconds=200.0)
+        await submit_job(weak, cluster, "00000000000000aa", step, run_seconds=200.0)
         await anyio.sleep(1.0)
         cluster.start(strong)
         await anyio.sleep(CALM_SECONDS)
--- a/tests/test_order_window.py
+++ b/tests/test_order_window.py
@@ -1,22 +1,18 @@
 """Limit of the start orders under way, and their rate beyond what can be sent."""
 
-import random
+import functools
 
 import anyio
-from loguru import logger
 
-from emulator.cluster import Cluster
 from emulator.platform_service import NullObserver
-from emulator.virtual_clock import run_virtual
-from kingcuptrack.coordination.admissions import JobRequest
 from kingcuptrack.coordination.order_window import (
     FIRST_ORDER_SECONDS,
     WINDOW_SECONDS,
     OrderWindow,
 )
 
+from .cluster_plays import play_cluster, submit_job
 from .shard_states import make_step
-from .simulation import HOST, KEY, make_policy
 from .support import check, function_tests
 
 load_tests = function_tests(__name__)
@@ -85,43 +81,37 @@
         How the runs ended until shortly after the load.
     """
 
-    async def run():
-        async with anyio.create_task_group() as tasks:
-            observer = _EndRecorder()
-            cluster = Cluster(
-                tasks=tasks,
-                rng=random.Random(3),
-                observer=observer,
-                workers_count=48,
-                instances_count=1,
-                call_seconds=CALL_SECONDS,
-            )
-            cluster.set_policy(make_policy())
-            cluster.begin()
-            await anyio.sleep(6.0)
+    observer = _EndRecorder()
+
+    async def run(cluster):
+        await anyio.sleep(2.0)
+        async with anyio.create_task_group() as callers:
             for number in range(jobs_count):
-                tasks.start_soon(_submit_gang, cluster, number)
+                step = make_step(
+                    tasks=GANG_TASKS_COUNT, seconds=RUN_SECONDS, is_gang=True
+                )
+                callers.start_soon(
+                    functools.partial(
+                        submit_job,
+                        cluster.members[0],
+                        cluster,
+                        f"{number:016x}",
+                        step,
+                        run_seconds=RUN_SECONDS,
+                        queue="patient",
+                    )
+                )
                 await anyio.sleep(LOAD_SECONDS / jobs_count)
-            await anyio.sleep(2 * LOAD_SECONDS)
-            ends = list(observer.ends)
-            tasks.cancel_scope.cancel()
-        return ends
-
-    logger.disable("kingcuptrack")
-    try:
-        return run_virtual(run)
-    finally:
-        logger.enable("kingcuptrack")
-
-
-async def _submit_gang(cluster, number):
-    job_id = f"{number:016x}"
-    step = make_step(tasks=GANG_TASKS_COUNT, gpus=1, seconds=RUN_SECONDS, is_gang=True)
-    cluster.fleet.jobs[job_id] = (step,), RUN_SECONDS, 0
-    admissions = cluster.members[0].instance.admissions
-    caller = admissions.authorise(host=HOST, path=f"/patient/{job_id}", key=KEY).value
-    request = JobRequest(spec="", steps=(step,), digest=job_id)
-    await admissions.submit(caller, job_id, request, timeout_seconds=2.0)
+        await anyio.sleep(2 * LOAD_SECONDS)
+        return list(observer.ends)
+
+    return play_cluster(
+        run,
+        observer=observer,
+        workers_count=48,
+        instances_count=1,
+        call_seconds=CALL_SECONDS,
+    )
 
 
 def test_more_gangs_than_can_be_ordered_do_not_stop_the_others():
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -1,19 +1,14 @@
 """Polls of workers by the scheduler."""
 
-import random
 from unittest import mock
 
 import anyio
-from loguru import logger
 
-from emulator.cluster import Cluster
 from emulator.platform_service import NullObserver
-from emulator.virtual_clock import run_virtual
-from kingcuptrack.coordination.admissions import JobRequest
 from kingcuptrack.coordination.sessions import Session
 
+from .cluster_plays import play_cluster, submit_job
 from .shard_states import make_step
-from .simulation import HOST, KEY, make_policy
 from .support import check, function_tests
 
 load_tests = function_tests(__name__)
@@ -57,41 +52,27 @@
         polls_at_seconds.append(anyio.current_time())
         return await poll(session, **keywords)
 
-    async def run():
-        async with anyio.create_task_group() as tasks:
-            cluster = Cluster(
-                tasks=tasks,
-                rng=random.Random(1),
-                observer=recorder,
-                workers_count=WORKERS_COUNT,
-                instances_count=1,
+    async def run(cluster):
+        # Work that lasts keeps the workers busy while short tasks end.
+        for number, seconds in enumerate((30.0, 1.0)):
+            await submit_job(
+                cluster.members[0],
+                cluster,
+                f"{number:016x}",
+                make_step(tasks=TASKS_COUNT, seconds=seconds),
+                run_seconds=seconds,
             )
-            cluster.set_policy(make_policy())
-            cluster.begin()
-            await anyio.sleep(4.0)
-            service = cluster.members[0].instance.admissions
-            # Work that lasts keeps the workers busy while short tasks end.
-            for number, seconds in enumerate((30.0, 1.0)):
-                job_id = f"{number:016x}"
-                steps = (make_step(tasks=TASKS_COUNT, seconds=seconds),)
-                cluster.fleet.jobs[job_id] = steps, seconds, 0
-                caller = service.authorise(host=HOST, path=f"/batch/{job_id}", key=KEY)
-                request = JobRequest(spec="", steps=steps, digest=job_id)
-                await service.submit(caller.value, job_id, request, timeout_seconds=2.0)
-            await anyio.sleep(0.5)
-            if is_store_down:
-                cluster.store.faults.down = "busy"
-                await anyio.sleep(OUTAGE_SECONDS)
-                cluster.store.faults.down = ""
-            await anyio.sleep(3.0)
-            tasks.cancel_scope.cancel()
-
-    logger.disable("kingcuptrack")
-    try:
-        with mock.patch.object(Session, "poll", count_poll):
-            run_virtual(run)
-    finally:
-        logger.enable("kingcuptrack")
+        await anyio.sleep(0.5)
+        if is_store_down:
+            cluster.store.faults.down = "busy"
+            await anyio.sleep(OUTAGE_SECONDS)
+            cluster.store.faults.down = ""
+        await anyio.sleep(3.0)
+
+    with mock.patch.object(Session, "poll", count_poll):
+        play_cluster(
+            run, observer=recorder, workers_count=WORKERS_COUNT, instances_count=1
+        )
     first_end_seconds = min(recorder.ended_at_seconds)
     until_seconds = first_end_seconds + OUTAGE_SECONDS / 2
     polls_count = sum(
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -1,28 +1,23 @@
 """Unexpected errors in one part of an instance, with jobs that must still finish."""
 
-import random
 from unittest import mock
 
 import anyio
-from loguru import logger
 
-from emulator.cluster import Cluster
 from emulator.platform_service import NullObserver
 from emulator.virtual_clock import run_virtual
 from kingcuptrack.coordination import batches, scheduler
-from kingcuptrack.coordination.admissions import JobRequest
 from kingcuptrack.coordination.commits import LeadershipLostError
 from kingcuptrack.coordination.ports import Shard
 from kingcuptrack.coordination.rows import progress_key
 from kingcuptrack.coordination.supervision import describe_error, supervise
-from kingcuptrack.outcomes import Done
 from kingcuptrack.state.ordering import order_key
 from kingcuptrack.state.planner import PlanRules
 from kingcuptrack.state.progress import JobState
 from kingcuptrack.state.shard_state import ShardState
 
+from .cluster_plays import play_cluster, submit_job
 from .shard_states import make_step
-from .simulation import HOST, KEY, make_policy
 from .support import check, function_tests
 
 load_tests = function_tests(__name__)
@@ -48,47 +43,23 @@
         leader = cluster.leader()
         terms.append((leader.name, leader.instance.candidate._chain.epoch))
 
-    async def run():
-        async with anyio.create_task_group() as tasks:
-            cluster = Cluster(
-                tasks=tasks,
-                rng=random.Random(1),
-                observer=NullObserver(),
-                instances_count=2,
-                **({"rules": rules} if rules else {}),
-            )
-            cluster.set_policy(make_policy())
-            cluster.begin()
-            await anyio.sleep(4.0)
-            note_term(cluster)
-            service = cluster.members[0].instance.admissions
-            callers = {}
-            for job_id in job_ids:
-                steps = (make_step(tasks=3, seconds=1.0),)
-                cluster.fleet.jobs[job_id] = steps, 1.0, 0
-                caller = service.authorise(
-                    host=HOST, path=f"/batch/{job_id}", key=KEY
-                ).value
-                callers[job_id] = caller
-                request = JobRequest(spec="", steps=steps, digest=job_id)
-                outcome = await service.submit(
-                    caller, job_id, request, timeout_seconds=2.0
-                )
-                check.assertIsInstance(outcome, Done)
-            await anyio.sleep(FINISH_SECONDS)
-            note_term(cluster)
-            states = {
-                job_id: (await service.read_state(caller, job_id)).value
-                for job_id, caller in callers.items()
-            }
-            tasks.cancel_scope.cancel()
-        return states
-
-    logger.disable("kingcuptrack")
-    try:
-        return run_virtual(run)
-    finally:
-        logger.enable("kingcuptrack")
+    async def run(cluster):
+        note_term(cluster)
+        member = cluster.members[0]
+        step = make_step(tasks=3, seconds=1.0)
+        callers = {
+            job_id: await submit_job(member, cluster, job_id, step, run_seconds=1.0)
+            for job_id in job_ids
+        }
+        await anyio.sleep(FINISH_SECONDS)
+        note_term(cluster)
+        service = member.instance.admissions
+        return {
+            job_id: (await service.read_state(caller, job_id)).value
+            for job_id, caller in callers.items()
+        }
+
+    return play_cluster(run, instances_count=2, **({"rules": rules} if rules else {}))
 
 
 def make_job_ids(count):
@@ -184,34 +155,16 @@
         def note_start(self, worker, run, order):
             starts.append(order.ref.job_id)
 
-    async def run():
-        async with anyio.create_task_group() as tasks:
-            cluster = Cluster(
-                tasks=tasks,
-                rng=random.Random(1),
-                observer=StartRecorder(),
-                instances_count=2,
-            )
-            cluster.set_policy(make_policy())
-            cluster.begin()
-            await anyio.sleep(4.0)
-            service = cluster.members[0].instance.admissions
-            steps = (make_step(tasks=2, seconds=1.0),)
-            cluster.fleet.jobs[job_id] = steps, 1.0, 0
-            caller = service.authorise(host=HOST, path=f"/batch/{job_id}", key=KEY)
-            request = JobRequest(spec="", steps=steps, digest=job_id)
-            await service.submit(caller.value, job_id, request, timeout_seconds=2.0)
-            await anyio.sleep(4.0)
-            cluster.store.put(progress_key(Shard(), job_id), b"")
-            cluster.kill(cluster.leader())
-            await anyio.sleep(12.0)
-            tasks.cancel_scope.cancel()
-
-    logger.disable("kingcuptrack")
-    try:
-        run_virtual(run)
-    finally:
-        logger.enable("kingcuptrack")
+    async def run(cluster):
+        member = cluster.members[0]
+        step = make_step(tasks=2, seconds=1.0)
+        await submit_job(member, cluster, job_id, step, run_seconds=1.0)
+        await anyio.sleep(4.0)
+        cluster.store.put(progress_key(Shard(), job_id), b"")
+        cluster.kill(cluster.leader())
+        await anyio.sleep(12.0)
+
+    play_cluster(run, observer=StartRecorder(), instances_count=2)
     check.assertEqual(starts, [job_id] * 2)
 
 
