--- a/kingcuptrack/coordination/ports.py
+++ b/kingcuptrack/coordination/ports.py
@@ -117,6 +117,7 @@
 FENCED = "fenced"  # the worker has seen a higher token
 TOO_LATE = "too_late"  # the deadline of the order has passed
 WORKER_BUSY = "worker_busy"  # the worker is not healthy
+REPLACED = "replaced"  # another worker answers at its address, so it has ended
 REJECTED = "rejected"  # any other refusal
 
 
