End the runs of a worker once another one answers at its address

Callers saw: after a crash, all jobs with a run on the worker stood still for 6.5 to 9.5 s, until the leases lapsed, although the worker was back after 3.3 s.

Cause: a worker that starts again usually has a new id. Calls that name the old id are refused with status 421, which the adapter decoded like any other refusal, and the session took for silence.

Change: 421 is decoded as REPLACED; the scheduler ends the runs of the old id at once, except those whose order is not settled, and logs worker/replaced and end/worker_replaced. This also tells crashes from silence in the logs, which the inquiry into tasks that crash their workers needs.

--- a/kingcuptrack/coordination/scheduler.py
+++ b/kingcuptrack/coordination/scheduler.py
@@ -217,6 +217,33 @@
         busy_workers_count = self.shard_state.busy_workers_count
         return poll_wait_seconds(busy_workers_count, self._chain.holder_cores)
 
+    def end_replaced_worker(self, worker_id):
+        """End the runs of a worker whose address another worker has taken over."""
+        worker = self.shard_state.workers.get(worker_id)
+        if worker is None:
+            return
+        was_replaced = worker.is_replaced
+        runs = self.shard_state.end_replaced_worker(
+            worker_id, now_seconds=self.clocks.steady()
+        )
+        if not was_replaced or runs:
+            log_event(
+                "worker",
+                outcome="replaced",
+                worker_id=worker_id,
+                runs_count=len(runs),
+            )
+        for run in runs:
+            log_event(
+                "end",
+                outcome="worker_replaced",
+                task=str(run.ref),
+                run=run.number,
+                worker_id=worker_id,
+            )
+        self._wake_stopping_sessions()
+        self._request_commit_of_changes()
+
     def end_fenced_term(self, worker_id):
         """Raise `LeadershipLostError`: a worker has seen a newer scheduler's token."""
         raise LeadershipLostError(f"worker {worker_id} has seen a higher fencing token")
--- a/kingcuptrack/coordination/sessions.py
+++ b/kingcuptrack/coordination/sessions.py
@@ -9,7 +9,7 @@
 from ..outcomes import Done, Refused
 from ..state.shard_entities import RunPhase
 from .leases import LeaseTracker
-from .ports import FENCED, PollRequest, StartOrder
+from .ports import FENCED, REPLACED, PollRequest, StartOrder
 from .supervision import supervise
 
 # Wait of a poll for the end of a run, and the longest wait while so many workers are
@@ -121,7 +121,9 @@
                 if is_busy and self._is_reachable
                 else 0
             )
-            if not is_answered:
+            if not is_answered and self._is_replaced() and not self._runs():
+                await self._wait_for_wake(IDLE_POLL_INTERVAL_SECONDS)
+            elif not is_answered:
                 await anyio.sleep(RETRY_SECONDS)
             elif self.received_end > self.acknowledged_end:
                 # The worker would answer at once, with the same ends, until the commit
@@ -165,6 +167,7 @@
             if is_fenced and token == self.token:
                 self.scheduler.end_fenced_term(self.worker_id)
             self._note_unreachable(outcome)
+            self._check_replaced(outcome)
             return False
         self._note_reachable()
         self._apply_report(outcome.value)
@@ -269,6 +272,7 @@
         elif isinstance(outcome, Refused):
             self._abandon_start(run, outcome.code)
             self.scheduler.note_refusal(run, outcome)
+            self._check_replaced(outcome)
         else:
             run.phase = RunPhase.UNSETTLED
             self._log_start(run, "unknown", outcome.message)
@@ -364,6 +368,14 @@
     def _has_unsettled(self):
         return any(run.phase == RunPhase.UNSETTLED for run in self._runs().values())
 
+    def _is_replaced(self):
+        worker = self._worker()
+        return worker is not None and worker.is_replaced
+
+    def _check_replaced(self, outcome):
+        if isinstance(outcome, Refused) and outcome.code == REPLACED:
+            self.scheduler.end_replaced_worker(self.worker_id)
+
     def _note_unreachable(self, outcome):
         if self._is_reachable:
             self._is_reachable = False
--- a/kingcuptrack/platform/workers.py
+++ b/kingcuptrack/platform/workers.py
@@ -3,7 +3,14 @@
 import attrs
 import msgspec
 
-from ..coordination.ports import FENCED, REJECTED, TOO_LATE, WORKER_BUSY, Workers
+from ..coordination.ports import (
+    FENCED,
+    REJECTED,
+    REPLACED,
+    TOO_LATE,
+    WORKER_BUSY,
+    Workers,
+)
 from ..logs import log_event
 from ..outcomes import Done, Refused, Unknown
 from ..state.progress import EndKind
@@ -160,7 +167,10 @@
         return Done(value=response.body)
     if status in (429, 503):
         return Refused(code=WORKER_BUSY, message=f"status {status}")
-    if status in (400, 404, 409, 421):
+    if status == 421:
+        # Every call names its worker; another one has taken over the address.
+        return Refused(code=REPLACED, message=f"status {status}")
+    if status in (400, 404, 409):
         reason = _decode_reason(response.body)
         return Refused(
             code=_CODE_BY_REASON.get(reason, REJECTED),
--- a/kingcuptrack/state/scheduling_units.py
+++ b/kingcuptrack/state/scheduling_units.py
@@ -122,6 +122,7 @@
         worker.entry is not None
         and not worker.entry.is_draining
         and worker.life != 0
+        and not worker.is_replaced
         and not worker.has_unknown_runs
         and worker.entry.data_centre not in policy.closed_data_centres
         and now_seconds - worker.answered_at_seconds < ANSWER_AGE_LIMIT_SECONDS
--- a/kingcuptrack/state/shard_entities.py
+++ b/kingcuptrack/state/shard_entities.py
@@ -66,6 +66,7 @@
     its latest entry. ``life`` is the incarnation of the worker that answered last, 0
     if the worker has not answered since this scheduler took over. ``failed_job_ids``
     are the jobs of its latest failures, cleared by a success.
+    ``is_replaced`` means that another worker answers at its address.
     ``leaves_at_seconds`` is the earliest time at which a draining worker leaves.
     ``used`` and ``step_counts``, the number of runs by (job id, occurrence, step), are
     kept up to date with ``runs``.
@@ -82,6 +83,7 @@
     failed_job_ids: set[str] = attrs.field(factory=set)
     suspect_until_seconds: float = float("-inf")
     has_unknown_runs: bool = False
+    is_replaced: bool = False
     leaves_at_seconds: float | None = None
 
     @property
--- a/kingcuptrack/state/shard_state.py
+++ b/kingcuptrack/state/shard_state.py
@@ -254,6 +254,7 @@
             return [], []
         is_new_life = report.life > worker.life
         worker.life = report.life
+        worker.is_replaced = False
         worker.answered_at_seconds = report.received_at_seconds
         ends = [(self._apply_end(worker, end, report), end) for end in report.ended]
         unknown_runs = []
@@ -282,6 +283,23 @@
             self._end_run(run, how=None, checkpoint="", now_seconds=now_seconds)
         return lapsed
 
+    def end_replaced_worker(self, worker_id, *, now_seconds):
+        """End the runs of a worker that another one has replaced at its address.
+
+        Returns these runs; runs whose order is not settled yet stay, and their orders
+        are refused.
+        """
+        worker = self._worker(worker_id)
+        worker.is_replaced = True
+        lost = [
+            run
+            for run in worker.runs.values()
+            if run.phase in (RunPhase.CONFIRMED, RunPhase.UNSETTLED)
+        ]
+        for run in lost:
+            self._end_run(run, how=None, checkpoint="", now_seconds=now_seconds)
+        return lost
+
     def _worker(self, worker_id):
         return self.workers.setdefault(worker_id, Worker(worker_id=worker_id))
 
--- a/tests/test_shard_state.py
+++ b/tests/test_shard_state.py
@@ -1,16 +1,19 @@
 """Changes of the shard state by claims, starts, reports and lapsed leases."""
 
+from kingcuptrack.state.planner import make_plan
 from kingcuptrack.state.progress import JobProgress, JobState
 from kingcuptrack.state.scheduling_units import find_ready_units
 from kingcuptrack.state.shard_entities import RunPhase
 from kingcuptrack.state.steps import NO_RESOURCES
 
 from .shard_states import (
+    POLICY,
     add_job,
     make_ref,
     make_report,
     make_shard_state,
     make_step,
+    placed_workers,
     start_run,
 )
 from .support import check, function_tests
@@ -110,6 +113,23 @@
     check.assertEqual(shard_state.workers["w0"].runs, {})
 
 
+def test_runs_of_a_replaced_worker_do_not_wait_for_its_lease():
+    """Guards against tasks that wait for the lease of a worker that has ended."""
+    shard_state = make_shard_state({"r0": ["w0", "w1"]})
+    add_job(shard_state, "job", make_step(tasks=3))
+    start_run(shard_state, "job", "w0", index=0)
+    unsettled = shard_state.claim(make_ref("job", 1), "w0", number=1, now_seconds=0.0)
+    unsettled.phase = RunPhase.UNSETTLED
+    ordered = shard_state.claim(make_ref("job", 2), "w0", number=1, now_seconds=0.0)
+    ordered.phase = RunPhase.ORDERED
+    ended = shard_state.end_replaced_worker("w0", now_seconds=1.0)
+    check.assertEqual([run.ref.index for run in ended], [0, 1])
+    # The order may be on its way; its refusal ends the run.
+    check.assertEqual(list(shard_state.workers["w0"].runs), [ordered.key])
+    plan = make_plan(shard_state, POLICY, now_seconds=1.0, wall_seconds=1.0)
+    check.assertEqual(placed_workers(plan, "job"), ["w1", "w1"])
+
+
 def test_unknown_runs_make_a_worker_unusable():
     """Guards against starts on a worker whose capacity unknown runs occupy."""
     shard_state = make_shard_state({"r0": ["w0"]})
