Give up tasks that crash the workers that start them

Cause: attempts count ends that a worker lists as failed. A run that is lost with its worker changed nothing, so that its task had any number of attempts.

Change: state/crashes.py attributes a crash (a new life, or another worker at the address) to the tasks that the worker had started shortly before. The workers are kept in the row of the job, so that they outlive the leader; rows without crashes keep their format. A task is given up after two crashes if nothing else can have caused the second one, after three if other workers have crashed as well, and after four in any case. Running for a second clears a task. A worker that was given up as silent is watched for 30 s, since its return shows whether it has crashed; silent workers without runs are polled half a second apart. New: log line crash, metric kingcuptrack_worker_crashes_total, the reason in the line job/failed and in the command job.

--- a/kingcuptrack/coordination/decision_log.py
+++ b/kingcuptrack/coordination/decision_log.py
@@ -64,6 +64,17 @@
     )
 
 
+def log_crash(worker_id, finding):
+    """Log that a worker has crashed, and which tasks may have caused it."""
+    log_event(
+        "crash",
+        outcome="cause_found" if finding.given_up else "suspects",
+        worker_id=worker_id,
+        tasks=[str(ref) for ref in finding.suspects],
+        reason="; ".join(finding.given_up.values()),
+    )
+
+
 def log_final_state(job, *, wall_seconds):
     """Log the stored final state of a job, once."""
     if job.is_final_logged:
@@ -74,5 +85,6 @@
         outcome=job.progress.state.value,
         job_id=job.submission.job_id,
         queue=job.submission.queue,
+        reason=job.progress.failure_reason,
         seconds=round(wall_seconds - job.submission.accepted_at_seconds, 3),
     )
--- a/kingcuptrack/coordination/scheduler.py
+++ b/kingcuptrack/coordination/scheduler.py
@@ -19,7 +19,13 @@
 from ..state.stragglers import find_stragglers
 from .batches import JOBS_PER_COMMIT, make_batch
 from .commits import Committed, ConditionFailed, LeadershipLostError
-from .decision_log import DecisionLog, log_final_state, log_placement, log_stop
+from .decision_log import (
+    DecisionLog,
+    log_crash,
+    log_final_state,
+    log_placement,
+    log_stop,
+)
 from .job_feed import JobFeed
 from .leases import LeaseTracker
 from .order_window import OrderWindow
@@ -181,6 +187,7 @@
                 current=run is not None,
                 end_number=end.number,
             )
+        self._log_crashes()
         # Runs that the report has made superfluous are stopped at once.
         self._wake_stopping_sessions()
         self._request_commit_of_changes()
@@ -241,9 +248,14 @@
                 run=run.number,
                 worker_id=worker_id,
             )
+        self._log_crashes()
         self._wake_stopping_sessions()
         self._request_commit_of_changes()
 
+    def note_worker_lost(self, worker_id):
+        """Record that a worker has stopped to answer."""
+        self.shard_state.note_lost(worker_id, now_seconds=self.clocks.steady())
+
     def end_fenced_term(self, worker_id):
         """Raise `LeadershipLostError`: a worker has seen a newer scheduler's token."""
         raise LeadershipLostError(f"worker {worker_id} has seen a higher fencing token")
@@ -252,6 +264,11 @@
         """Record the duration of an operation in the metrics."""
         self._metrics.observe(name, seconds)
 
+    def _log_crashes(self):
+        for worker_id, finding in self.shard_state.take_crash_findings():
+            log_crash(worker_id, finding)
+            self._metrics.count_worker_crash(is_cause_known=bool(finding.given_up))
+
     def _note_job_rows(self):
         self._wake_stopping_sessions()
         self._request_commit()
--- a/kingcuptrack/coordination/sessions.py
+++ b/kingcuptrack/coordination/sessions.py
@@ -27,6 +27,8 @@
 IDLE_POLL_INTERVAL_SECONDS = 2.0
 # Pause after a call without an answer.
 RETRY_SECONDS = 0.1
+# Interval between polls of a worker that does not answer and has no runs.
+SILENT_POLL_INTERVAL_SECONDS = 0.5
 # Interval at which a stop order is repeated until the worker reports the end.
 STOP_RETRY_SECONDS = 0.5
 # Age from which a queued start order is no longer sent, since it would ignore cancels
@@ -121,10 +123,8 @@
                 if is_busy and self._is_reachable
                 else 0
             )
-            if not is_answered and self._is_replaced() and not self._runs():
-                await self._wait_for_wake(IDLE_POLL_INTERVAL_SECONDS)
-            elif not is_answered:
-                await anyio.sleep(RETRY_SECONDS)
+            if not is_answered:
+                await self._wait_after_failure()
             elif self.received_end > self.acknowledged_end:
                 # The worker would answer at once, with the same ends, until the commit
                 # of these ends allows to acknowledge them.
@@ -132,6 +132,14 @@
             elif not self._runs():
                 await self._wait_for_wake(IDLE_POLL_INTERVAL_SECONDS)
 
+    async def _wait_after_failure(self):
+        if self._runs():
+            await anyio.sleep(RETRY_SECONDS)
+        elif self._is_replaced():
+            await self._wait_for_wake(IDLE_POLL_INTERVAL_SECONDS)
+        else:
+            await self._wait_for_wake(SILENT_POLL_INTERVAL_SECONDS)
+
     async def _wait_for_wake(self, limit_seconds):
         self._poll_event = anyio.Event()
         with anyio.move_on_after(limit_seconds):
@@ -379,6 +387,7 @@
     def _note_unreachable(self, outcome):
         if self._is_reachable:
             self._is_reachable = False
+            self.scheduler.note_worker_lost(self.worker_id)
             log_event(
                 "dependency",
                 outcome="lost",
--- a/kingcuptrack/prometheus_metrics.py
+++ b/kingcuptrack/prometheus_metrics.py
@@ -27,6 +27,12 @@
             ["code"],
             registry=self._registry,
         )
+        self._worker_crashes = Counter(
+            "kingcuptrack_worker_crashes",
+            "Crashes of workers, by whether a job was given up as their cause",
+            ["cause"],
+            registry=self._registry,
+        )
         self._latency = Histogram(
             "kingcuptrack_latency_seconds",
             "Duration of operations",
@@ -47,6 +53,11 @@
         """Count a start order that a worker refused, by the code of the refusal."""
         self._start_refusals.labels(code).inc()
 
+    def count_worker_crash(self, *, is_cause_known):
+        """Count the crash of a worker."""
+        cause = "task" if is_cause_known else "unknown"
+        self._worker_crashes.labels(cause).inc()
+
     def observe(self, operation, seconds):
         """Record the duration of an operation."""
         self._latency.labels(operation).observe(seconds)
--- /dev/null
+++ b/kingcuptrack/state/crashes.py
@@ -0,0 +1,267 @@
+"""Attribution of crashes of workers to the tasks that were started there.
+
+Designed for tasks that crash every worker that starts them, beside workers that crash
+by themselves. All tasks that a worker started shortly before its crash are suspects.
+Suspects are then started apart from other work, so that a second crash has one possible
+cause, and are cleared by running for some time.
+"""
+
+from collections import deque
+
+import attrs
+
+from .shard_entities import RunPhase
+
+# Time after which a running task is not suspected of crashing its worker.
+SURVIVAL_SECONDS = 1.0
+# Workers that are lost within this time of each other count as lost together.
+COINCIDENCE_SECONDS = 1.0
+# Other workers lost together, without a task of a job, from which their common cause is
+# taken to lie outside of the job.
+COINCIDENT_WORKERS_COUNT = 2
+# Time for which the crash of another worker makes a second crash under a task less
+# certain evidence, and for which suspects avoid the address of a crashed worker.
+RECENT_SECONDS = 10.0
+# Workers that must have crashed under a task before it is given up: if the last crash
+# has no other possible cause, if other workers have crashed as well, and in any case.
+CERTAIN_CRASHES_COUNT = 2
+DOUBTFUL_CRASHES_COUNT = 3
+MOST_CRASHES_COUNT = 4
+# Time for which a worker that was given up as silent is watched for its return, which
+# shows whether it has crashed.
+WATCH_SECONDS = 30.0
+
+
+@attrs.frozen(kw_only=True)
+class Crash:
+    """Crash of a worker.
+
+    ``lost_at_seconds`` is when the worker stopped to answer. ``job_ids`` are the jobs
+    that had started a task there shortly before. ``is_explained`` means that a crash
+    under the same task came before.
+    """
+
+    address: str
+    lost_at_seconds: float
+    job_ids: frozenset[str]
+    is_explained: bool = False
+
+
+class CrashHistory:
+    """The crashes of the last `RECENT_SECONDS`, in the order in which they were found.
+
+    A crash is found when the worker, or another one at its address, answers again.
+    """
+
+    def __init__(self):
+        self._crashes = deque()
+
+    def record(self, crash):
+        """Add a crash, and forget those that are not recent any more."""
+        self._crashes.append(crash)
+        oldest_seconds = crash.lost_at_seconds - RECENT_SECONDS - WATCH_SECONDS
+        while self._crashes[0].lost_at_seconds < oldest_seconds:
+            self._crashes.popleft()
+
+    def recent_addresses(self, now_seconds):
+        """Return the addresses of the workers that have crashed recently."""
+        return {
+            crash.address
+            for crash in self._crashes
+            if now_seconds - crash.lost_at_seconds <= RECENT_SECONDS
+        }
+
+    def lost_together(self, crash):
+        """Return the earlier found crashes of workers that were lost with this one."""
+        return [
+            other
+            for other in self._crashes
+            if other.address != crash.address
+            and _is_within(crash, other, COINCIDENCE_SECONDS)
+        ]
+
+    def has_unrelated(self, crash, job_id):
+        """Return whether another worker crashed recently and no task explains it."""
+        return any(
+            job_id not in other.job_ids and not other.is_explained
+            for other in self._crashes
+            if other.address != crash.address
+            and _is_within(crash, other, RECENT_SECONDS)
+        )
+
+
+def _is_within(crash, other, seconds):
+    return abs(crash.lost_at_seconds - other.lost_at_seconds) <= seconds
+
+
+def is_coincidence(job_id, lost_together):
+    """Return whether the workers lost together point to a cause outside of a job.
+
+    Parameters
+    ----------
+    job_id : str
+    lost_together : list of Crash
+        Other workers that were lost together with one that ran the job.
+    """
+    others_count = sum(job_id not in crash.job_ids for crash in lost_together)
+    return others_count >= COINCIDENT_WORKERS_COUNT
+
+
+def crashes_limit_count(crash, job_id, *, history, lost_together):
+    """Return how many workers must have crashed under a task to give it up now.
+
+    Parameters
+    ----------
+    crash : Crash
+        The newest crash under the task.
+    job_id : str
+        The job of the task.
+    history : CrashHistory
+    lost_together : list of Crash
+        Other workers that were lost together with this one.
+    """
+    is_sole_cause = crash.job_ids == {job_id}
+    if not is_sole_cause or is_coincidence(job_id, lost_together):
+        return MOST_CRASHES_COUNT
+    if history.has_unrelated(crash, job_id):
+        return DOUBTFUL_CRASHES_COUNT
+    return CERTAIN_CRASHES_COUNT
+
+
+@attrs.frozen(kw_only=True)
+class CrashFinding:
+    """Result of a crash: the jobs whose progress changed, and those to give up.
+
+    ``suspects`` are the tasks that may have caused it. ``given_up`` maps the id of a
+    job to the reason.
+    """
+
+    suspects: tuple = ()
+    changed_job_ids: frozenset[str] = frozenset()
+    given_up: dict = attrs.field(factory=dict)
+
+
+class CrashAttribution:
+    """Suspected tasks of a shard, and the crashes that they are suspected of.
+
+    Parameters
+    ----------
+    jobs, workers : dict
+        Jobs and workers of the shard state by id.
+    """
+
+    def __init__(self, *, jobs, workers):
+        self._jobs = jobs
+        self._workers = workers
+        self._history = CrashHistory()
+
+    def record_crash(self, worker, runs, *, now_seconds):
+        """Record that a worker has crashed, before its runs are ended.
+
+        Parameters
+        ----------
+        worker : Worker
+        runs : iterable of Run
+            All its runs.
+        now_seconds : float
+
+        Returns
+        -------
+        CrashFinding
+        """
+        suspects = [*_find_suspects(runs), *worker.lapsed_suspects]
+        worker.lapsed_suspects = []
+        if worker.last_entry is None or worker.last_entry.is_draining:
+            # The end of a worker that leaves was to be expected.
+            return CrashFinding()
+        crash = _make_crash(worker, suspects, now_seconds)
+        lost_together = self._find_lost_together(worker, crash)
+        changed_job_ids, given_up, is_explained = set(), {}, False
+        for run in suspects:
+            task = self._find_open_task(run)
+            if task is None:
+                continue
+            job_id = run.ref.job_id
+            limit_count = crashes_limit_count(
+                crash, job_id, history=self._history, lost_together=lost_together
+            )
+            if run.phase != RunPhase.CONFIRMED:
+                # Whether the worker had started the task is not known.
+                if crash.job_ids != {job_id} or not run.token:
+                    continue
+                limit_count = MOST_CRASHES_COUNT
+            if worker.worker_id not in task.crashed_worker_ids:
+                task.crashed_worker_ids.append(worker.worker_id)
+                changed_job_ids.add(job_id)
+            crashes_count = len(task.crashed_worker_ids)
+            is_explained |= crashes_count >= CERTAIN_CRASHES_COUNT
+            if crashes_count >= limit_count:
+                worker_ids = ", ".join(task.crashed_worker_ids)
+                given_up[job_id] = (
+                    f"{crashes_count} workers crashed when they started task "
+                    f"{run.ref}: {worker_ids}"
+                )
+        self._history.record(attrs.evolve(crash, is_explained=is_explained))
+        return CrashFinding(
+            suspects=tuple(run.ref for run in suspects),
+            changed_job_ids=frozenset(changed_job_ids),
+            given_up=given_up,
+        )
+
+    def record_lapse(self, worker, runs, *, now_seconds):
+        """Watch a silent worker whose runs are ended: it may have crashed."""
+        suspects = _find_suspects(runs)
+        if suspects:
+            worker.lapsed_suspects += suspects
+            worker.watched_until_seconds = now_seconds + WATCH_SECONDS
+
+    def note_answer(self, worker):
+        """Record that a worker answers.
+
+        Returns the runs that it is cleared of having crashed under: it has not crashed.
+        """
+        cleared, worker.lapsed_suspects = worker.lapsed_suspects, []
+        worker.lost_at_seconds = None
+        return cleared
+
+    def note_survival(self, run):
+        """Clear a task that has run for some time; returns whether that changed it."""
+        task = self._find_open_task(run)
+        if task is None or not task.crashed_worker_ids:
+            return False
+        task.crashed_worker_ids = []
+        return True
+
+    def _find_open_task(self, run):
+        job = self._jobs.get(run.ref.job_id)
+        if job is None or job.progress.is_final:
+            return None
+        task = job.progress.task(run.ref)
+        return None if task is None or task.is_done else task
+
+    def _find_lost_together(self, worker, crash):
+        """Return the crashes, also those not found yet, at the time of this one."""
+        silent = [
+            _make_crash(other, _find_suspects(other.runs.values()), 0.0)
+            for other in self._workers.values()
+            if other is not worker
+            and other.lost_at_seconds is not None
+            and abs(other.lost_at_seconds - crash.lost_at_seconds)
+            <= COINCIDENCE_SECONDS
+        ]
+        return [*self._history.lost_together(crash), *silent]
+
+
+def _find_suspects(runs):
+    return [
+        run for run in runs if run.phase != RunPhase.CLAIMED and not run.has_survived
+    ]
+
+
+def _make_crash(worker, suspects, now_seconds):
+    lost_at_seconds = worker.lost_at_seconds
+    return Crash(
+        address=worker.last_entry.address if worker.last_entry else "",
+        lost_at_seconds=now_seconds if lost_at_seconds is None else lost_at_seconds,
+        job_ids=frozenset(run.ref.job_id for run in suspects),
+    )
--- a/kingcuptrack/state/progress.py
+++ b/kingcuptrack/state/progress.py
@@ -40,6 +40,8 @@
 
     ``last_run`` is the number of the newest claimed run, 0 if there is none.
     ``worker_id`` is the worker of this run while the run may exist, else empty.
+    ``crashed_worker_ids`` are the workers that crashed soon after they had started the
+    task, since it last ran for some time.
     """
 
     last_run: int = 0
@@ -47,6 +49,7 @@
     is_done: bool = False
     worker_id: str = ""
     checkpoint: str = ""
+    crashed_worker_ids: list[str] = attrs.field(factory=list)
 
 
 @attrs.define(kw_only=True)
@@ -70,12 +73,14 @@
     """Progress of a job.
 
     ``occurrences`` maps the number of an occurrence to the progress of its steps;
-    an occurrence that is done moves to ``done_occurrences``.
+    an occurrence that is done moves to ``done_occurrences``. ``failure_reason`` is why
+    the job was given up, empty unless its tasks crash their workers.
     """
 
     state: JobState = JobState.QUEUED
     occurrences: dict[int, list[StepProgress]] = attrs.field(factory=dict)
     done_occurrences: set[int] = attrs.field(factory=set)
+    failure_reason: str = ""
 
     @property
     def is_final(self):
@@ -147,7 +152,7 @@
     before = progress.state
     if is_cancelled:
         progress.state = JobState.CANCELLED
-    elif _has_exhausted_attempts(progress, submission):
+    elif progress.failure_reason or _has_exhausted_attempts(progress, submission):
         progress.state = JobState.FAILED
     else:
         _drop_done_occurrences(progress)
--- a/kingcuptrack/state/records.py
+++ b/kingcuptrack/state/records.py
@@ -49,58 +49,76 @@
 
 
 def encode_progress(progress):
-    """Return the bytes of a `JobProgress`; tasks are encoded as tuples."""
+    """Return the bytes of a `JobProgress`; tasks are encoded as tuples.
+
+    Fields that earlier versions do not know are left out unless they are set.
+    """
     occurrences = [
         (
             occurrence,
             [
                 (
                     sorted(step.failed_runs),
-                    [attrs.astuple(task) for task in step.tasks],
+                    [_encode_task(task) for task in step.tasks],
                 )
                 for step in steps
             ],
         )
         for occurrence, steps in progress.occurrences.items()
     ]
-    return msgspec.msgpack.encode(
-        (
-            progress.state.value,
-            sorted(progress.done_occurrences),
-            occurrences,
-        )
+    row = (progress.state.value, sorted(progress.done_occurrences), occurrences)
+    if progress.failure_reason:
+        row += (progress.failure_reason,)
+    return msgspec.msgpack.encode(row)
+
+
+def _encode_task(task):
+    row = (
+        task.last_run,
+        task.failures_count,
+        task.is_done,
+        task.worker_id,
+        task.checkpoint,
     )
+    if task.crashed_worker_ids:
+        row += (task.crashed_worker_ids,)
+    return row
+
+
+class _TaskRow(msgspec.Struct, array_like=True):
+    last_run: int
+    failures_count: int
+    is_done: bool
+    worker_id: str
+    checkpoint: str
+    crashed_worker_ids: list[str] = []
 
 
-_TaskRow = tuple[int, int, bool, str, str]
-_ProgressRow = tuple[
-    JobState,
-    list[int],
-    list[tuple[int, list[tuple[list[int], list[_TaskRow]]]]],
-]
+class _ProgressRow(msgspec.Struct, array_like=True):
+    state: JobState
+    done_occurrences: list[int]
+    occurrences: list[tuple[int, list[tuple[list[int], list[_TaskRow]]]]]
+    failure_reason: str = ""
 
 
 def decode_progress(data):
     """Return the `JobProgress` of a row; raises `RecordError`."""
-    state, done_occurrences, rows = _decode(data, _ProgressRow)
-    names = [field.name for field in attrs.fields(TaskProgress)]
+    row = _decode(data, _ProgressRow)
     occurrences = {
         occurrence: [
             StepProgress(
                 failed_runs=set(failed_runs),
-                tasks=[
-                    TaskProgress(**dict(zip(names, task, strict=True)))
-                    for task in tasks
-                ],
+                tasks=[TaskProgress(**msgspec.structs.asdict(task)) for task in tasks],
             )
             for failed_runs, tasks in steps
         ]
-        for occurrence, steps in rows
+        for occurrence, steps in row.occurrences
     }
     return JobProgress(
-        state=state,
-        done_occurrences=set(done_occurrences),
+        state=row.state,
+        done_occurrences=set(row.done_occurrences),
         occurrences=occurrences,
+        failure_reason=row.failure_reason,
     )
 
 
--- a/kingcuptrack/state/shard_entities.py
+++ b/kingcuptrack/state/shard_entities.py
@@ -27,7 +27,8 @@
     its whole run time is known. The worker first reported progress at
     ``progress_since_seconds``, with ``first_percent``; ``percent`` last changed at
     ``percent_changed_at_seconds``. ``confirmed_clock_seconds`` is the worker's clock
-    when it confirmed the run. ``token`` is the fencing token of its start order.
+    when it confirmed the run; ``has_survived`` means that the worker listed the run
+    some time after that. ``token`` is the fencing token of its start order.
     """
 
     ref: TaskRef
@@ -42,6 +43,7 @@
     phase: RunPhase = RunPhase.CLAIMED
     claimed_at_seconds: float = 0.0
     confirmed_clock_seconds: float = 0.0
+    has_survived: bool = False
     token: int = 0
     checkpoint: str = ""
     is_progress_known: bool = False
@@ -67,6 +69,9 @@
     if the worker has not answered since this scheduler took over. ``failed_job_ids``
     are the jobs of its latest failures, cleared by a success.
     ``is_replaced`` means that another worker answers at its address.
+    ``lost_at_seconds`` is when it stopped to answer, None while it answers. While it is
+    watched, ``lapsed_suspects`` are the runs that may have crashed it, among those that
+    ended by the lapse of their lease.
     ``leaves_at_seconds`` is the earliest time at which a draining worker leaves.
     ``used`` and ``step_counts``, the number of runs by (job id, occurrence, step), are
     kept up to date with ``runs``.
@@ -84,6 +89,9 @@
     suspect_until_seconds: float = float("-inf")
     has_unknown_runs: bool = False
     is_replaced: bool = False
+    lost_at_seconds: float | None = None
+    lapsed_suspects: list[Run] = attrs.field(factory=list)
+    watched_until_seconds: float = float("-inf")
     leaves_at_seconds: float | None = None
 
     @property
--- a/kingcuptrack/state/shard_state.py
+++ b/kingcuptrack/state/shard_state.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from .crashes import SURVIVAL_SECONDS, CrashAttribution
 from .ordering import GUARANTEED_PRIORITY
 from .progress import JobProgress, JobState, record_end, update_state
 from .run_times import RunTimes
@@ -50,6 +51,9 @@
         self.placement_changes_count = 0
         # Workers with runs that became ready to be stopped.
         self._workers_to_stop = set()
+        self._crashes = CrashAttribution(jobs=self.jobs, workers=self.workers)
+        # Findings about crashes that were not taken yet, with the worker.
+        self._crash_findings = []
 
     def add_job(self, submission, *, now_seconds, progress=None, is_cancelled=False):
         """Add a stored job; returns it, or None if it is known already or final."""
@@ -234,7 +238,9 @@
         gone = [
             worker_id
             for worker_id, worker in self.workers.items()
-            if worker.entry is None and not worker.runs
+            if worker.entry is None
+            and not worker.runs
+            and not _is_watched(worker, now_seconds)
         ]
         for worker_id in gone:
             del self.workers[worker_id]
@@ -253,6 +259,10 @@
         if report.life < worker.life:
             return [], []
         is_new_life = report.life > worker.life
+        if is_new_life and worker.life:
+            self._record_crash(worker, now_seconds=report.received_at_seconds)
+        for run in self._crashes.note_answer(worker):
+            self._clear_suspicion(run)
         worker.life = report.life
         worker.is_replaced = False
         worker.answered_at_seconds = report.received_at_seconds
@@ -277,8 +287,10 @@
 
         Returns these runs; claimed runs, which have no start order yet, stay.
         """
-        runs = list(self._worker(worker_id).runs.values())
+        worker = self._worker(worker_id)
+        runs = list(worker.runs.values())
         lapsed = [run for run in runs if run.phase != RunPhase.CLAIMED]
+        self._crashes.record_lapse(worker, lapsed, now_seconds=now_seconds)
         for run in lapsed:
             self._end_run(run, how=None, checkpoint="", now_seconds=now_seconds)
         return lapsed
@@ -291,6 +303,7 @@
         """
         worker = self._worker(worker_id)
         worker.is_replaced = True
+        self._record_crash(worker, now_seconds=now_seconds)
         lost = [
             run
             for run in worker.runs.values()
@@ -300,6 +313,26 @@
             self._end_run(run, how=None, checkpoint="", now_seconds=now_seconds)
         return lost
 
+    def note_lost(self, worker_id, *, now_seconds):
+        """Record that a worker has stopped to answer."""
+        self._worker(worker_id).lost_at_seconds = now_seconds
+
+    def take_crash_findings(self):
+        """Return (worker id, `CrashFinding`) of the latest crashes, once each."""
+        findings, self._crash_findings = self._crash_findings, []
+        return findings
+
+    def _record_crash(self, worker, *, now_seconds):
+        finding = self._crashes.record_crash(
+            worker, worker.runs.values(), now_seconds=now_seconds
+        )
+        self._crash_findings.append((worker.worker_id, finding))
+        self.dirty_job_ids.update(finding.changed_job_ids)
+        for job_id, reason in finding.given_up.items():
+            job = self.jobs[job_id]
+            job.progress.failure_reason = reason
+            self._update_job_state(job)
+
     def _worker(self, worker_id):
         return self.workers.setdefault(worker_id, Worker(worker_id=worker_id))
 
@@ -388,6 +421,10 @@
                 # Stop orders are only sent for confirmed runs.
                 self._workers_to_stop.add(run.worker_id)
             self._mark_started(self.jobs[run.ref.job_id])
+        running_seconds = report.clock_seconds - run.confirmed_clock_seconds
+        if not run.has_survived and running_seconds >= SURVIVAL_SECONDS:
+            run.has_survived = True
+            self._clear_suspicion(run)
         if not run.is_progress_known:
             run.is_progress_known = True
             run.first_percent = run.percent = item.percent
@@ -426,6 +463,7 @@
         step = job.submission.steps[run.ref.step]
         if how == "failed":
             job.failed_worker_ids.add(run.worker_id)
+            self._clear_suspicion(run)
         if how == "done" and run.is_start_observed and not run.is_remote:
             self.run_times.learn(
                 job.submission.queue,
@@ -453,6 +491,10 @@
             self.placement_changes_count += 1
         self._update_job_state(job)
 
+    def _clear_suspicion(self, run):
+        if self._crashes.note_survival(run):
+            self.dirty_job_ids.add(run.ref.job_id)
+
     def _mark_started(self, job):
         if not job.has_started:
             job.has_started = True
@@ -484,6 +526,10 @@
                 worker.suspect_until_seconds = now_seconds + SUSPECT_SECONDS
 
 
+def _is_watched(worker, now_seconds):
+    return bool(worker.lapsed_suspects) and now_seconds < worker.watched_until_seconds
+
+
 def _update_departure(worker, now_seconds):
     entry = worker.entry
     if entry is None:
--- a/kingcuptrack/tools/inspection_text.py
+++ b/kingcuptrack/tools/inspection_text.py
@@ -50,6 +50,8 @@
         f"priority {submission.priority}, attempts {submission.attempts_limit}",
         f"cancel requested: {'yes' if view.is_cancelled else 'no'}",
     ]
+    if progress and progress.failure_reason:
+        lines.append(f"given up: {progress.failure_reason}")
     rows = []
     for occurrence, steps in (progress.occurrences if progress else {}).items():
         for number, step in enumerate(steps):
@@ -63,9 +65,10 @@
                         state,
                         task.last_run,
                         task.failures_count,
+                        len(task.crashed_worker_ids),
                     )
                 )
     if rows:
-        header = ("occurrence/step/task", "state", "runs", "failures")
+        header = ("occurrence/step/task", "state", "runs", "failures", "crashes")
         lines += ["", format_table(header, rows)]
     return "\n".join(lines)
