Start tasks that may have crashed their worker apart from other work

Callers saw: tasks that a worker had started in the same second as one that crashes it were lost with it again and again, and after four crashes their job was given up.

Cause: the planner placed suspects beside each other and beside new work, so that a crash had several possible causes, and each attempt took other runs down.

Change: suspects of a crash, and of a silence that ends in a lapse, start where nothing else was started in the last second, on the emptiest workers, and not at an address where a worker crashed in the last 10 s; nothing else is started there until they are cleared by running for a second. One suspect of a step starts first, and the step goes on once it is cleared. A suspect that finds no such worker starts without one after 4 s, guaranteed work after 1 s. When three workers or more are lost together, tasks that do not run on all of them are not suspected.

--- a/kingcuptrack/state/crashes.py
+++ b/kingcuptrack/state/crashes.py
@@ -11,6 +11,7 @@
 import attrs
 
 from .shard_entities import RunPhase
+from .steps import TaskRef
 
 # Time after which a running task is not suspected of crashing its worker.
 SURVIVAL_SECONDS = 1.0
@@ -154,6 +155,40 @@
         self._jobs = jobs
         self._workers = workers
         self._history = CrashHistory()
+        # Jobs with suspected tasks, by id.
+        self._suspect_jobs = {}
+
+    def restore(self, job):
+        """Suspect the tasks of a stored job under which workers have crashed."""
+        for occurrence, steps in job.progress.occurrences.items():
+            for number, step in enumerate(steps):
+                for index, task in enumerate(step.tasks):
+                    if task.crashed_worker_ids and not task.is_done:
+                        ref = TaskRef(
+                            job_id=job.submission.job_id,
+                            occurrence=occurrence,
+                            step=number,
+                            index=index,
+                        )
+                        self._suspect(job, ref)
+
+    def held_worker_ids(self):
+        """Return the workers where a suspect was started that is not cleared yet."""
+        held = set()
+        for job_id, job in list(self._suspect_jobs.items()):
+            if job.progress.is_final or not job.suspect_refs:
+                del self._suspect_jobs[job_id]
+                continue
+            held |= {
+                run.worker_id
+                for run in job.runs.values()
+                if run.ref in job.suspect_refs
+            }
+        return held
+
+    def recent_addresses(self, now_seconds):
+        """Return the addresses of the workers that have crashed recently."""
+        return self._history.recent_addresses(now_seconds)
 
     def record_crash(self, worker, runs, *, now_seconds):
         """Record that a worker has crashed, before its runs are ended.
@@ -182,6 +217,8 @@
             if task is None:
                 continue
             job_id = run.ref.job_id
+            if not is_coincidence(job_id, lost_together):
+                self._suspect(self._jobs[job_id], run.ref)
             limit_count = crashes_limit_count(
                 crash, job_id, history=self._history, lost_together=lost_together
             )
@@ -211,9 +248,16 @@
     def record_lapse(self, worker, runs, *, now_seconds):
         """Watch a silent worker whose runs are ended: it may have crashed."""
         suspects = _find_suspects(runs)
-        if suspects:
-            worker.lapsed_suspects += suspects
-            worker.watched_until_seconds = now_seconds + WATCH_SECONDS
+        if not suspects:
+            return
+        worker.lapsed_suspects += suspects
+        worker.watched_until_seconds = now_seconds + WATCH_SECONDS
+        crash = _make_crash(worker, suspects, now_seconds)
+        lost_together = self._find_lost_together(worker, crash)
+        for run in suspects:
+            is_open = self._find_open_task(run) is not None
+            if is_open and not is_coincidence(run.ref.job_id, lost_together):
+                self._suspect(self._jobs[run.ref.job_id], run.ref)
 
     def note_answer(self, worker):
         """Record that a worker answers.
@@ -225,13 +269,25 @@
         return cleared
 
     def note_survival(self, run):
-        """Clear a task that has run for some time; returns whether that changed it."""
+        """Clear a task that has run for some time; returns whether it was suspected."""
         task = self._find_open_task(run)
-        if task is None or not task.crashed_worker_ids:
+        if task is None:
+            return False
+        job = self._jobs[run.ref.job_id]
+        if run.ref not in job.suspect_refs and not task.crashed_worker_ids:
             return False
         task.crashed_worker_ids = []
+        job.suspect_refs.discard(run.ref)
+        job.has_survivor = True
+        job.ready_units = None
         return True
 
+    def _suspect(self, job, ref):
+        job.suspect_refs.add(ref)
+        job.has_survivor = False
+        job.ready_units = None
+        self._suspect_jobs[job.submission.job_id] = job
+
     def _find_open_task(self, run):
         job = self._jobs.get(run.ref.job_id)
         if job is None or job.progress.is_final:
--- a/kingcuptrack/state/packing.py
+++ b/kingcuptrack/state/packing.py
@@ -64,6 +64,13 @@
                 slot.step_counts.get(requirements.step_key, 0) + 1
             )
 
+    def remove(self, slots):
+        """Let nothing more be placed on ``slots``."""
+        for slot in set(slots):
+            self.slots.remove(slot)
+            self.by_rack[slot.rack].remove(slot)
+            self._count_free_gpus(slot, -1)
+
     def _count_free_gpus(self, slot, change):
         free_count = max(0, slot.free.gpus_count)
         self._workers_by_free_gpus[free_count] = (
@@ -76,7 +83,8 @@
     """Requirements of a step's tasks on a worker.
 
     ``step_key`` identifies the step, for ``tasks_per_worker_limit``, where 0 means no
-    limit.
+    limit. With ``prefers_empty_workers``, the workers with the most free accelerators
+    come first, otherwise those with the fewest.
     """
 
     step_key: tuple
@@ -85,6 +93,7 @@
     required_label: str = ""
     tasks_per_worker_limit: int = 0
     avoided_worker_ids: frozenset[str] = frozenset()
+    prefers_empty_workers: bool = False
 
 
 def is_eligible(slot, requirements):
@@ -122,7 +131,8 @@
     """Choose slots for as many of the tasks as fit.
 
     Prefers workers where no run of the job has failed, then those with the fewest
-    accelerators left free, so that whole workers stay free for large tasks.
+    accelerators left free, so that whole workers stay free for large tasks, or with the
+    most free ones, as the requirements say.
 
     Returns
     -------
@@ -140,6 +150,7 @@
     fitting.sort(
         key=lambda item: (
             item[0].worker_id in requirements.avoided_worker_ids,
+            -item[0].free.gpus_count if requirements.prefers_empty_workers else 0,
             item[0].free.gpus_count - item[1] * requirements.demand.gpus_count,
             item[0].free.memory_mb - item[1] * requirements.demand.memory_mb,
             item[0].worker_id,
--- a/kingcuptrack/state/planner.py
+++ b/kingcuptrack/state/planner.py
@@ -15,6 +15,7 @@
     make_requirements,
     make_slots,
 )
+from .separate_starts import SeparateStarts, make_separate_starts
 from .steps import TaskRef
 from .victims import (
     BORROWED_URGENT_COST_FACTOR,
@@ -115,6 +116,7 @@
         pool=SlotPool(make_slots(shard_state, policy, now_seconds=now_seconds)),
         urgent_gpus=dict(shard_state.urgent_gpus),
         other_gpus_count=shard_state.other_gpus_count,
+        separate_starts=make_separate_starts(shard_state, now_seconds=now_seconds),
     )
     planning_pass.plan_units(units)
     return Plan(
@@ -139,6 +141,7 @@
     urgent_gpus: dict
     # Accelerators that other runs use, with those placed by this pass.
     other_gpus_count: int
+    separate_starts: SeparateStarts
     groups: list = attrs.field(factory=list)
     stops: list = attrs.field(factory=list)
     waits: list = attrs.field(factory=list)
@@ -193,6 +196,9 @@
         """Place a unit, make room for it, or record why it waits."""
         requirements = make_requirements(unit)
         is_near_only = self._is_limited_to_near_workers(unit, is_guaranteed)
+        if self.separate_starts.is_needed(unit, is_guaranteed=is_guaranteed):
+            self._plan_separate_start(unit, requirements, is_near_only)
+            return
         tasks_count = len(unit.indexes)
         most_count = self.pool.most_fitting(unit.step.resources.gpus_count, tasks_count)
         if most_count == 0 or (unit.step.is_gang and most_count < tasks_count):
@@ -218,6 +224,25 @@
         if unit.step.is_gang and not is_complete:
             self._reserve(unit, requirements)
 
+    def _plan_separate_start(self, unit, requirements, is_near_only):
+        """Place a suspected unit apart from other work, or record that it waits."""
+        job_id = unit.job.submission.job_id
+        chosen = self._choose_unit_slots(
+            unit,
+            requirements,
+            is_near_only,
+            is_allowed=lambda slot: self.separate_starts.is_quiet(slot, job_id),
+        )
+        if unit.priority != GUARANTEED_PRIORITY:
+            chosen = self._limit_non_urgent(unit, chosen)
+        is_whole = len(chosen) == len(unit.indexes)
+        if chosen and (is_whole or not unit.step.is_gang):
+            self._place(unit, requirements, chosen)
+            self.pool.remove(chosen)
+        if not is_whole:
+            placed = f"{len(chosen)} of {len(unit.indexes)} tasks fit"
+            self.waits.append((unit, f"no worker for a start by itself, {placed}"))
+
     def _place(self, unit, requirements, chosen):
         if not chosen:
             return
@@ -297,8 +322,11 @@
             ]
         return ends
 
-    def _choose_unit_slots(self, unit, requirements, is_near_only):
-        """Return slots for as many tasks as fit without delaying a reserved gang."""
+    def _choose_unit_slots(self, unit, requirements, is_near_only, *, is_allowed=None):
+        """Return slots for as many tasks as fit without delaying a reserved gang.
+
+        Only slots for which ``is_allowed`` is true are used, if it is given.
+        """
         end_seconds = self.now_seconds + self._expected_seconds(unit)
         searches = _list_searches(unit, self.pool, is_near_only)
         chosen = []
@@ -309,6 +337,8 @@
                     for slot in slots
                     if ends_before_reservation(slot, end_seconds=end_seconds)
                 ]
+            if is_allowed is not None:
+                slots = [slot for slot in slots if is_allowed(slot)]
             choose = choose_rack if same_rack else choose_slots
             chosen = choose(slots, requirements, len(unit.indexes))
             is_limited = is_near_only and unit.step.data_rack
--- a/kingcuptrack/state/scheduling_units.py
+++ b/kingcuptrack/state/scheduling_units.py
@@ -26,7 +26,8 @@
 class SchedulingUnit:
     """Tasks of one step of one occurrence that are ready to start.
 
-    ``indexes`` are the numbers of these tasks in the step.
+    ``indexes`` are the numbers of these tasks in the step. ``is_suspect`` means that
+    they are started apart from other work, since they may crash their worker.
     """
 
     job: object
@@ -34,6 +35,7 @@
     step_number: int
     step: Step
     indexes: tuple[int, ...]
+    is_suspect: bool = False
 
     @property
     def priority(self):
@@ -90,17 +92,50 @@
         ):
             # A gang waits until every member of its earlier run has ended.
             continue
-        yield SchedulingUnit(
-            job=job,
-            occurrence=occurrence,
-            step_number=number,
-            step=step,
-            indexes=waiting,
+        for indexes, is_suspect in _split_suspects(job, occurrence, number, waiting):
+            yield SchedulingUnit(
+                job=job,
+                occurrence=occurrence,
+                step_number=number,
+                step=step,
+                indexes=indexes,
+                is_suspect=is_suspect,
+            )
+
+
+def _split_suspects(job, occurrence, number, waiting):
+    """Return (indexes, whether they are suspects) of waiting tasks that may start.
+
+    After a crash, one suspect of a step starts first, and nothing else until it is
+    cleared, so that a step whose tasks all crash their workers takes down one worker
+    more.
+    """
+    suspects = [
+        ref.index
+        for ref in job.suspect_refs
+        if (ref.occurrence, ref.step) == (occurrence, number)
+    ]
+    if not suspects:
+        return [(waiting, False)]
+    if job.submission.steps[number].is_gang:
+        return [(waiting, True)]
+    waiting_suspects = tuple(index for index in waiting if index in suspects)
+    if not job.has_survivor:
+        if len(waiting_suspects) < len(suspects):
+            return []
+        tasks = job.progress.occurrences[occurrence][number].tasks
+        first = max(
+            waiting_suspects, key=lambda index: len(tasks[index].crashed_worker_ids)
         )
+        return [((first,), True)]
+    others = tuple(index for index in waiting if index not in suspects)
+    parts = [(others, False), (waiting_suspects, True)]
+    return [(indexes, is_suspect) for indexes, is_suspect in parts if indexes]
 
 
 def make_slots(shard_state, policy, *, now_seconds):
     """Return a slot with the free capacity of each worker that may get new work."""
+    held_worker_ids = shard_state.held_worker_ids()
     return [
         Slot(
             worker_id=worker.worker_id,
@@ -113,6 +148,7 @@
         )
         for worker in shard_state.workers.values()
         if is_usable(worker, policy, now_seconds=now_seconds)
+        and worker.worker_id not in held_worker_ids
     ]
 
 
@@ -140,4 +176,5 @@
         required_label=unit.step.required_label,
         tasks_per_worker_limit=unit.step.tasks_per_worker_limit,
         avoided_worker_ids=frozenset(unit.job.failed_worker_ids),
+        prefers_empty_workers=unit.is_suspect,
     )
--- a/kingcuptrack/state/shard_entities.py
+++ b/kingcuptrack/state/shard_entities.py
@@ -104,8 +104,10 @@
 class Job:
     """A job, its progress and its runs.
 
-    ``restarts`` counts restarts of stragglers by (occurrence, step). ``ready_units``
-    are the units that are ready to start; None after a change that may affect them.
+    ``restarts`` counts restarts of stragglers by (occurrence, step). ``suspect_refs``
+    are the tasks that may have crashed their worker; ``has_survivor`` means that one of
+    them has been cleared since the latest crash. ``ready_units`` are the units that are
+    ready to start; None after a change that may affect them.
     """
 
     submission: Submission
@@ -116,6 +118,8 @@
     runs: dict[tuple[TaskRef, int], Run] = attrs.field(factory=dict)
     failed_worker_ids: set[str] = attrs.field(factory=set)
     restarts: dict[tuple[int, int], int] = attrs.field(factory=dict)
+    suspect_refs: set[TaskRef] = attrs.field(factory=set)
+    has_survivor: bool = False
     is_final_logged: bool = False
     ready_units: tuple | None = None
 
--- a/kingcuptrack/state/shard_state.py
+++ b/kingcuptrack/state/shard_state.py
@@ -74,6 +74,7 @@
         self.jobs[job_id] = job
         self.placement_changes_count += 1
         self._restore_runs(job, now_seconds=now_seconds)
+        self._crashes.restore(job)
         if is_cancelled:
             self.cancel_job(job_id)
         return job
@@ -317,6 +318,14 @@
         """Record that a worker has stopped to answer."""
         self._worker(worker_id).lost_at_seconds = now_seconds
 
+    def held_worker_ids(self):
+        """Return the workers that get no other work because of a suspected task."""
+        return self._crashes.held_worker_ids()
+
+    def crashed_addresses(self, now_seconds):
+        """Return the addresses of the workers that have crashed recently."""
+        return self._crashes.recent_addresses(now_seconds)
+
     def take_crash_findings(self):
         """Return (worker id, `CrashFinding`) of the latest crashes, once each."""
         findings, self._crash_findings = self._crash_findings, []
@@ -494,6 +503,7 @@
     def _clear_suspicion(self, run):
         if self._crashes.note_survival(run):
             self.dirty_job_ids.add(run.ref.job_id)
+            self.placement_changes_count += 1
 
     def _mark_started(self, job):
         if not job.has_started:
--- a/tests/test_shard_state.py
+++ b/tests/test_shard_state.py
@@ -117,11 +117,13 @@
     """Guards against tasks that wait for the lease of a worker that has ended."""
     shard_state = make_shard_state({"r0": ["w0", "w1"]})
     add_job(shard_state, "job", make_step(tasks=3))
-    start_run(shard_state, "job", "w0", index=0)
+    started = start_run(shard_state, "job", "w0", index=0)
     unsettled = shard_state.claim(make_ref("job", 1), "w0", number=1, now_seconds=0.0)
     unsettled.phase = RunPhase.UNSETTLED
     ordered = shard_state.claim(make_ref("job", 2), "w0", number=1, now_seconds=0.0)
     ordered.phase = RunPhase.ORDERED
+    for run in (started, unsettled, ordered):
+        run.has_survived = True
     ended = shard_state.end_replaced_worker("w0", now_seconds=1.0)
     check.assertEqual([run.ref.index for run in ended], [0, 1])
     # The order may be on its way; its refusal ends the run.
