Count crashes that a task may have caused, and tell foreseen crashes apart

Cause: two crashes did not count, one found by the next leader, which cannot know that the run had been started, and one whose start order had no answer. Later ones were taken for a power cut, since several such tasks were started at the same time and the workers of all of them were lost within a second; a worker found crashed even counted twice.

Change: the row also holds the number of crashes that the task may have caused. A task is given up after four crashes if two are certain, and after five in any case, within the limit of three crashes and two more starts. A crash under a task that was a suspect before is foreseen, and is no sign of a cause outside of the jobs.

--- a/kingcuptrack/state/crashes.py
+++ b/kingcuptrack/state/crashes.py
@@ -24,10 +24,13 @@
 # certain evidence, and for which suspects avoid the address of a crashed worker.
 RECENT_SECONDS = 10.0
 # Workers that must have crashed under a task before it is given up: if the last crash
-# has no other possible cause, if other workers have crashed as well, and in any case.
+# has no other possible cause, and if unforeseen crashes of other workers are recent.
 CERTAIN_CRASHES_COUNT = 2
-DOUBTFUL_CRASHES_COUNT = 3
+UNCLEAR_CRASHES_COUNT = 3
+# Crashes that a task may have caused after which it is given up in any case: if at
+# least `CERTAIN_CRASHES_COUNT` workers had certainly started it, and if not.
 MOST_CRASHES_COUNT = 4
+MOST_DOUBTFUL_CRASHES_COUNT = 5
 # Time for which a worker that was given up as silent is watched for its return, which
 # shows whether it has crashed.
 WATCH_SECONDS = 30.0
@@ -38,14 +41,14 @@
     """Crash of a worker.
 
     ``lost_at_seconds`` is when the worker stopped to answer. ``job_ids`` are the jobs
-    that had started a task there shortly before. ``is_explained`` means that a crash
-    under the same task came before.
+    that may have started a task there shortly before. ``is_foreseen`` means that one of
+    these tasks was suspected already.
     """
 
     address: str
     lost_at_seconds: float
     job_ids: frozenset[str]
-    is_explained: bool = False
+    is_foreseen: bool = False
 
 
 class CrashHistory:
@@ -82,9 +85,9 @@
         ]
 
     def has_unrelated(self, crash, job_id):
-        """Return whether another worker crashed recently and no task explains it."""
+        """Return whether another worker crashed recently, unforeseen, without a job."""
         return any(
-            job_id not in other.job_ids and not other.is_explained
+            job_id not in other.job_ids and not other.is_foreseen
             for other in self._crashes
             if other.address != crash.address
             and _is_within(crash, other, RECENT_SECONDS)
@@ -104,15 +107,18 @@
     lost_together : list of Crash
         Other workers that were lost together with one that ran the job.
     """
-    others_count = sum(job_id not in crash.job_ids for crash in lost_together)
+    others_count = sum(
+        job_id not in crash.job_ids and not crash.is_foreseen for crash in lost_together
+    )
     return others_count >= COINCIDENT_WORKERS_COUNT
 
 
-def crashes_limit_count(crash, job_id, *, history, lost_together):
-    """Return how many workers must have crashed under a task to give it up now.
+def is_proven(task, crash, job_id, *, history, lost_together):
+    """Return whether a task is given up as the cause of crashes.
 
     Parameters
     ----------
+    task : TaskProgress
     crash : Crash
         The newest crash under the task.
     job_id : str
@@ -121,12 +127,17 @@
     lost_together : list of Crash
         Other workers that were lost together with this one.
     """
+    certain_count = len(task.crashed_worker_ids)
+    if certain_count < CERTAIN_CRASHES_COUNT:
+        return task.crashes_count >= MOST_DOUBTFUL_CRASHES_COUNT
+    if task.crashes_count >= MOST_CRASHES_COUNT:
+        return True
     is_sole_cause = crash.job_ids == {job_id}
     if not is_sole_cause or is_coincidence(job_id, lost_together):
-        return MOST_CRASHES_COUNT
+        return False
     if history.has_unrelated(crash, job_id):
-        return DOUBTFUL_CRASHES_COUNT
-    return CERTAIN_CRASHES_COUNT
+        return certain_count >= UNCLEAR_CRASHES_COUNT
+    return True
 
 
 @attrs.frozen(kw_only=True)
@@ -163,7 +174,7 @@
         for occurrence, steps in job.progress.occurrences.items():
             for number, step in enumerate(steps):
                 for index, task in enumerate(step.tasks):
-                    if task.crashed_worker_ids and not task.is_done:
+                    if task.crashes_count and not task.is_done:
                         ref = TaskRef(
                             job_id=job.submission.job_id,
                             occurrence=occurrence,
@@ -209,36 +220,26 @@
         if worker.last_entry is None or worker.last_entry.is_draining:
             # The end of a worker that leaves was to be expected.
             return CrashFinding()
-        crash = _make_crash(worker, suspects, now_seconds)
+        crash = self._make_crash(worker, suspects, now_seconds)
         lost_together = self._find_lost_together(worker, crash)
-        changed_job_ids, given_up, is_explained = set(), {}, False
+        changed_job_ids, given_up = set(), {}
         for run in suspects:
             task = self._find_open_task(run)
             if task is None:
                 continue
             job_id = run.ref.job_id
+            changed_job_ids.add(job_id)
             if not is_coincidence(job_id, lost_together):
                 self._suspect(self._jobs[job_id], run.ref)
-            limit_count = crashes_limit_count(
-                crash, job_id, history=self._history, lost_together=lost_together
-            )
-            if run.phase != RunPhase.CONFIRMED:
-                # Whether the worker had started the task is not known.
-                if crash.job_ids != {job_id} or not run.token:
-                    continue
-                limit_count = MOST_CRASHES_COUNT
-            if worker.worker_id not in task.crashed_worker_ids:
+            if run.phase == RunPhase.CONFIRMED:
                 task.crashed_worker_ids.append(worker.worker_id)
-                changed_job_ids.add(job_id)
-            crashes_count = len(task.crashed_worker_ids)
-            is_explained |= crashes_count >= CERTAIN_CRASHES_COUNT
-            if crashes_count >= limit_count:
-                worker_ids = ", ".join(task.crashed_worker_ids)
-                given_up[job_id] = (
-                    f"{crashes_count} workers crashed when they started task "
-                    f"{run.ref}: {worker_ids}"
-                )
-        self._history.record(attrs.evolve(crash, is_explained=is_explained))
+            else:
+                task.doubtful_crashes_count += 1
+            if is_proven(
+                task, crash, job_id, history=self._history, lost_together=lost_together
+            ):
+                given_up[job_id] = _describe_crashes(run.ref, task)
+        self._history.record(crash)
         return CrashFinding(
             suspects=tuple(run.ref for run in suspects),
             changed_job_ids=frozenset(changed_job_ids),
@@ -252,7 +253,7 @@
             return
         worker.lapsed_suspects += suspects
         worker.watched_until_seconds = now_seconds + WATCH_SECONDS
-        crash = _make_crash(worker, suspects, now_seconds)
+        crash = self._make_crash(worker, suspects, now_seconds)
         lost_together = self._find_lost_together(worker, crash)
         for run in suspects:
             is_open = self._find_open_task(run) is not None
@@ -274,9 +275,9 @@
         if task is None:
             return False
         job = self._jobs[run.ref.job_id]
-        if run.ref not in job.suspect_refs and not task.crashed_worker_ids:
+        if run.ref not in job.suspect_refs and not task.crashes_count:
             return False
-        task.crashed_worker_ids = []
+        task.clear_crashes()
         job.suspect_refs.discard(run.ref)
         job.has_survivor = True
         job.ready_units = None
@@ -288,6 +289,19 @@
         job.ready_units = None
         self._suspect_jobs[job.submission.job_id] = job
 
+    def _make_crash(self, worker, suspects, now_seconds):
+        lost_at_seconds = worker.lost_at_seconds
+        return Crash(
+            address=worker.last_entry.address if worker.last_entry else "",
+            lost_at_seconds=now_seconds if lost_at_seconds is None else lost_at_seconds,
+            job_ids=frozenset(run.ref.job_id for run in suspects),
+            is_foreseen=any(
+                run.ref in self._jobs[run.ref.job_id].suspect_refs
+                for run in suspects
+                if run.ref.job_id in self._jobs
+            ),
+        )
+
     def _find_open_task(self, run):
         job = self._jobs.get(run.ref.job_id)
         if job is None or job.progress.is_final:
@@ -298,9 +312,10 @@
     def _find_lost_together(self, worker, crash):
         """Return the crashes, also those not found yet, at the time of this one."""
         silent = [
-            _make_crash(other, _find_suspects(other.runs.values()), 0.0)
+            self._make_crash(other, _find_suspects(other.runs.values()), 0.0)
             for other in self._workers.values()
             if other is not worker
+            and not other.is_replaced
             and other.lost_at_seconds is not None
             and abs(other.lost_at_seconds - crash.lost_at_seconds)
             <= COINCIDENCE_SECONDS
@@ -314,10 +329,7 @@
     ]
 
 
-def _make_crash(worker, suspects, now_seconds):
-    lost_at_seconds = worker.lost_at_seconds
-    return Crash(
-        address=worker.last_entry.address if worker.last_entry else "",
-        lost_at_seconds=now_seconds if lost_at_seconds is None else lost_at_seconds,
-        job_ids=frozenset(run.ref.job_id for run in suspects),
-    )
+def _describe_crashes(ref, task):
+    worker_ids = ", ".join(task.crashed_worker_ids)
+    text = f"{task.crashes_count} workers crashed after an order to start task {ref}"
+    return f"{text}, which had been accepted by: {worker_ids or 'none'}"
--- a/kingcuptrack/state/progress.py
+++ b/kingcuptrack/state/progress.py
@@ -41,7 +41,8 @@
     ``last_run`` is the number of the newest claimed run, 0 if there is none.
     ``worker_id`` is the worker of this run while the run may exist, else empty.
     ``crashed_worker_ids`` are the workers that crashed soon after they had started the
-    task, since it last ran for some time.
+    task, and ``doubtful_crashes_count`` is the number of those that crashed and may
+    have started it, since it last ran for some time.
     """
 
     last_run: int = 0
@@ -50,6 +51,17 @@
     worker_id: str = ""
     checkpoint: str = ""
     crashed_worker_ids: list[str] = attrs.field(factory=list)
+    doubtful_crashes_count: int = 0
+
+    @property
+    def crashes_count(self):
+        """Number of crashes that the task may have caused."""
+        return len(self.crashed_worker_ids) + self.doubtful_crashes_count
+
+    def clear_crashes(self):
+        """Forget the crashes, since the task has run for some time."""
+        self.crashed_worker_ids = []
+        self.doubtful_crashes_count = 0
 
 
 @attrs.define(kw_only=True)
--- a/kingcuptrack/state/records.py
+++ b/kingcuptrack/state/records.py
@@ -80,8 +80,8 @@
         task.worker_id,
         task.checkpoint,
     )
-    if task.crashed_worker_ids:
-        row += (task.crashed_worker_ids,)
+    if task.crashes_count:
+        row += (task.crashed_worker_ids, task.doubtful_crashes_count)
     return row
 
 
@@ -92,6 +92,7 @@
     worker_id: str
     checkpoint: str
     crashed_worker_ids: list[str] = []
+    doubtful_crashes_count: int = 0
 
 
 class _ProgressRow(msgspec.Struct, array_like=True):
--- a/kingcuptrack/state/scheduling_units.py
+++ b/kingcuptrack/state/scheduling_units.py
@@ -124,9 +124,7 @@
         if len(waiting_suspects) < len(suspects):
             return []
         tasks = job.progress.occurrences[occurrence][number].tasks
-        first = max(
-            waiting_suspects, key=lambda index: len(tasks[index].crashed_worker_ids)
-        )
+        first = max(waiting_suspects, key=lambda index: tasks[index].crashes_count)
         return [((first,), True)]
     others = tuple(index for index in waiting if index not in suspects)
     parts = [(others, False), (waiting_suspects, True)]
--- a/kingcuptrack/tools/inspection_text.py
+++ b/kingcuptrack/tools/inspection_text.py
@@ -65,7 +65,7 @@
                         state,
                         task.last_run,
                         task.failures_count,
-                        len(task.crashed_worker_ids),
+                        task.crashes_count,
                     )
                 )
     if rows:
