Place no work on workers that have stopped to answer

Callers saw: after a crash, tasks were claimed for the lost worker every tenth of a second, and each claim was dropped because an earlier order there had no answer.

Cause: a worker counted as usable until 6.5 s after its last answer.

Change: a worker is not usable from its first poll without an answer to the next one with an answer.

--- a/kingcuptrack/state/scheduling_units.py
+++ b/kingcuptrack/state/scheduling_units.py
@@ -157,6 +157,7 @@
         and not worker.entry.is_draining
         and worker.life != 0
         and not worker.is_replaced
+        and worker.lost_at_seconds is None
         and not worker.has_unknown_runs
         and worker.entry.data_centre not in policy.closed_data_centres
         and now_seconds - worker.answered_at_seconds < ANSWER_AGE_LIMIT_SECONDS
