Simulate tasks that crash their workers

The in-memory workers could only crash by an injected fault, silently, and return under their id.

Change: `Fleet.crashing_tasks` names tasks that crash their worker 10 ms after their start. The connections of the worker close, calls are refused a connection, and after 2 to 5 s a worker with a new id answers at the address and refuses calls for the old id with REPLACED; as an option, the worker keeps its id. The registry lists a crashed worker for 4.5 s. The checker of the simulation records crashes by task. It reports BUDGET if a task starts three times more after it has crashed three workers, and LOST if a job is answered as failed with fewer than two crashes under a task. It also reports starts later than 3 s after a job was answered as failed, and lists the jobs without a crashing task that were failed by crashes. Faults of workers move to tests/worker_faults.py. A worker that leaves does not count as crashed.

--- a/emulator/cluster.py
+++ b/emulator/cluster.py
@@ -70,7 +70,7 @@
     tasks : anyio.abc.TaskGroup
     rng : random.Random
     observer : object
-        Notified of starts, ends, losses and lapses; has the methods of `NullObserver`.
+        Notified of events at workers; has the methods of `NullObserver`.
     workers_count, instances_count : int
     instance_cores : sequence of float
         Processor time of the first instances; unknown for the others.
--- a/emulator/gang_workers.py
+++ b/emulator/gang_workers.py
@@ -3,9 +3,11 @@
 They behave like the workers of the platform: leases end at absolute deadlines on the
 clock of the worker, ends of runs are reported until they are acknowledged, the runs of
 a gang end together, and orders may be executed late. An observer is notified of
-starts, ends, losses, lapses and acknowledgements.
+starts, ends, crashes, losses, lapses and acknowledgements.
 """
 
+from functools import partial
+
 import anyio
 import attrs
 
@@ -15,6 +17,8 @@
 from kingcuptrack.state.reports import EndedRun, RunningRun, WorkerEntry, WorkerReport
 from kingcuptrack.state.steps import NO_RESOURCES, Resources
 
+from .worker_crashes import CRASHED_SECONDS, crash_by_run, find_crash_outcome
+
 # Mean delay of a call before the worker receives it.
 CALL_DELAY_SECONDS = 0.003
 LONGEST_LEASE_SECONDS = 6.0
@@ -70,13 +74,20 @@
 
 
 class SimulatedWorker:
-    """One worker; a restart loses its state and changes its incarnation, ``life``."""
+    """One worker; a restart loses its state and changes its incarnation, ``life``.
+
+    ``is_replaced`` means that it has crashed and another worker has taken its address.
+    ``closed_life`` is the newest life whose connections closed when it crashed; after
+    other crashes, calls get no answer.
+    """
 
     def __init__(self, *, entry, fleet, clock_rate, life):
         self.entry = entry
         self.is_up = True
         # Multiplies the duration of runs that begin; infinite if they hang.
         self.slow_factor = 1.0
+        self.is_replaced = False
+        self.closed_life = None
         self._fleet = fleet
         self._clock_rate = clock_rate
         self.begin_life(life)
@@ -106,8 +117,17 @@
             total = total.plus(run.resources)
         return total
 
-    def crash(self):
-        """Lose all runs and be unreachable until `begin_life` is called."""
+    def crash(self, *, cause=None):
+        """Lose all runs and be unreachable until `begin_life` is called.
+
+        ``cause`` is the run that crashed the worker, if any.
+        """
+        if self.is_up:
+            self._fleet.observer.note_crash(self, cause)
+        self.leave()
+
+    def leave(self):
+        """End all runs without a report and be unreachable."""
         for run in list(self.runs.values()):
             self._fleet.handle_run_loss(self, run)
         self.runs.clear()
@@ -232,7 +252,7 @@
     spawn : callable
         Starts a background task; called with an async function and its arguments.
     observer : object
-        Notified of starts, ends, losses, lapses and acknowledgements.
+        Notified of starts, ends, crashes, losses, lapses and acknowledgements.
     """
 
     def __init__(self, *, rng, spawn, observer):
@@ -244,6 +264,12 @@
         # Simulated work by job id: (steps, actual run time of a task in seconds,
         # count of the first runs of each task that fail).
         self.jobs = {}
+        # Sets of (step number, task index) by job id: tasks that crash their worker.
+        self.crashing_tasks = {}
+        # Whether a worker returns under its id after such a crash.
+        self.keeps_crashed_ids = False
+        # Time until which the registry lists a worker that has crashed, by worker id.
+        self.listed_until = {}
         self._rng = rng
         self._spawn = spawn
 
@@ -279,6 +305,10 @@
             outcome=EndKind.FAILED if order.run <= failing_runs else EndKind.DONE,
         )
         self.observer.note_start(worker, run, order)
+        crashing_tasks = self.crashing_tasks.get(order.ref.job_id, ())
+        if (order.ref.step, order.ref.index) in crashing_tasks:
+            seconds_down = self._rng.uniform(*CRASHED_SECONDS)
+            self._spawn(partial(crash_by_run, self, worker, run, seconds=seconds_down))
         if step is None or not step.is_gang:
             run.begin_work(now, seconds * worker.slow_factor)
             return run
@@ -332,15 +362,25 @@
     def port(self, caller, can_reach_store):
         """Return the `Workers` port of one caller."""
 
+        def is_cut(worker_id):
+            return (
+                worker_id in self.faults.cut_workers
+                or (caller, worker_id) in self.faults.cut_pairs
+            )
+
+        async def miss_worker(entry, timeout_seconds):
+            """Return the outcome of a call that has not reached the worker."""
+            outcome = find_crash_outcome(self, entry, is_cut)
+            if outcome is not None:
+                return outcome
+            await anyio.sleep(timeout_seconds)
+            return Unknown(message="no answer")
+
         async def reach_worker(entry, timeout_seconds, *, is_order):
             """Return (worker or None, is answer lost, is execution late)."""
             await anyio.sleep(CALL_DELAY_SECONDS * self._rng.uniform(0.5, 1.5))
             worker = self.workers.get(entry.worker_id)
-            pair = caller, entry.worker_id
-            is_cut = entry.worker_id in self.faults.cut_workers
-            if worker is None or not worker.is_up:
-                return None, False, False
-            if is_cut or pair in self.faults.cut_pairs:
+            if worker is None or not worker.is_up or is_cut(entry.worker_id):
                 return None, False, False
             chance = self._rng.random() if is_order else 1.0
             is_late = chance < self.faults.late_share
@@ -352,8 +392,7 @@
                 entry, timeout_seconds, is_order=True
             )
             if worker is None:
-                await anyio.sleep(timeout_seconds)
-                return Unknown(message="no answer")
+                return await miss_worker(entry, timeout_seconds)
             if is_late:
                 self._spawn(self._execute_late, worker, worker.life, execute)
             outcome = Unknown(message="no answer") if is_late else execute(worker)
@@ -366,14 +405,15 @@
             worker, is_lost, is_late = await reach_worker(
                 entry, timeout_seconds, is_order=True
             )
-            if worker is None or is_late:
-                if is_late:
-                    self._spawn(
-                        self._execute_late,
-                        worker,
-                        worker.life,
-                        lambda late_worker: late_worker.accept_poll(request),
-                    )
+            if worker is None:
+                return await miss_worker(entry, timeout_seconds)
+            if is_late:
+                self._spawn(
+                    self._execute_late,
+                    worker,
+                    worker.life,
+                    lambda late_worker: late_worker.accept_poll(request),
+                )
                 await anyio.sleep(timeout_seconds)
                 return Unknown(message="no answer")
             life = worker.life
@@ -385,10 +425,14 @@
                 request.acknowledged_end
             ):
                 await anyio.sleep(TICK_SECONDS)
-            pair = caller, entry.worker_id
-            is_cut = entry.worker_id in self.faults.cut_workers
-            is_cut = is_cut or pair in self.faults.cut_pairs
-            if is_lost or is_cut or not worker.is_up or worker.life != life:
+                if worker.closed_life == life and not is_cut(entry.worker_id):
+                    return Unknown(message="connection closed without an answer")
+            if (
+                is_lost
+                or is_cut(entry.worker_id)
+                or not worker.is_up
+                or worker.life != life
+            ):
                 await anyio.sleep(timeout_seconds)
                 return Unknown(message="no answer")
             return Done(value=worker.report(request.token))
@@ -413,11 +457,16 @@
         return Workers(poll=poll, start=start, stop=stop, list=list_entries)
 
     def list_entries(self):
-        """Return the registry entries of the workers that are up and listed."""
+        """Return the entries of the registry.
+
+        A worker that has crashed, rather than left, is listed for some seconds more.
+        """
+        now = anyio.current_time()
         return [
             attrs.evolve(worker.entry, is_draining=worker_id in self.draining)
             for worker_id, worker in self.workers.items()
-            if worker.is_up and worker_id not in self.unlisted
+            if worker_id not in self.unlisted
+            and (worker.is_up or now < self.listed_until.get(worker_id, now))
         ]
 
     async def _execute_late(self, worker, life, execute):
--- a/emulator/platform_service.py
+++ b/emulator/platform_service.py
@@ -58,6 +58,9 @@
     def note_end(self, worker, run, end):
         """Ignore an end."""
 
+    def note_crash(self, worker, cause):
+        """Ignore a crash."""
+
     def note_lost(self, worker, run):
         """Ignore a loss."""
 
--- a/tests/invariants.py
+++ b/tests/invariants.py
@@ -9,6 +9,12 @@
 # or after the data centre was taken out of service.
 CANCEL_LIMIT_SECONDS = 3.0
 TAKE_OUT_LIMIT_SECONDS = 5.0
+# A task may be given up after this many workers have crashed under it.
+GIVE_UP_CRASHES_COUNT = 2
+# A task violates a rule if it starts this many times more after it has crashed this
+# many workers.
+LIMIT_CRASHES_COUNT = 3
+LIMIT_STARTS_COUNT = 3
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -16,19 +22,21 @@
     """A submitted job and the answers that callers received about it.
 
     ``answers`` holds the outcome of each submission: pending, accepted, refused or
-    unknown.
+    unknown. ``crashing_tasks`` holds (step number, task index) of the tasks that crash
+    each worker that starts them.
     """
 
     job_id: str
     steps: tuple
     attempts_limit: int
     spec: str
+    crashing_tasks: frozenset = frozenset()
     answers: list = attrs.field(factory=list)
     accepted_at: float | None = None
     cancel_sent: bool = False
     cancelled_at: float | None = None
     last_state: JobState | None = None
-    finished_at: float | None = None
+    failed_at: float | None = None
 
 
 class InvariantChecker:
@@ -36,10 +44,12 @@
 
     The rules in the messages are:
 
-    - ``UNASKED``: a run belongs to an open job that was submitted.
+    - ``UNASKED``: a run belongs to an open job that was submitted; none starts after
+      the job was answered as failed.
     - ``REFUSED``: a job whose submissions were all refused does not run.
     - ``TWICE``: a task has one live run at a time, and none after it is done.
-    - ``BUDGET``: a task does not start again after ``attempts_limit`` failed runs.
+    - ``BUDGET``: a task does not start again after ``attempts_limit`` failed runs, and
+      not three times more after it has crashed three workers.
     - ``LIMIT``: the runs of a worker fit in its capacity.
     - ``ROUTE``: the worker has the required label and stays within
       ``tasks_per_worker_limit``.
@@ -47,7 +57,13 @@
     - ``ORDER``: a step starts after the steps that it depends on.
     - ``MIXED``: a job that is answered as completed is done.
     - ``LOST``: an accepted job exists and becomes final; it is answered as cancelled
-      only after a cancel request, and as failed only after ``attempts_limit`` failures.
+      only after a cancel request, and as failed only after ``attempts_limit`` failures
+      of a task, or after two workers have crashed under one. If the job has crashing
+      tasks, it must be one of these.
+
+    ``own_crashes`` maps the reference of a task to the incarnations (worker id, life)
+    that it has crashed. ``innocent_failed_jobs`` are the jobs without a crashing task
+    that were answered as failed because of crashes.
     """
 
     def __init__(self):
@@ -56,6 +72,12 @@
         # Time since which each data centre is out of service, by name.
         self.out_since = {}
         self.starts_count = 0
+        self.own_crashes = {}
+        self.innocent_failed_jobs = []
+        # Incarnations that crashed while a task ran there, by task reference.
+        self._crashes = {}
+        # Number of starts of a task after its LIMIT_CRASHES_COUNT-th own crash.
+        self._starts_above_limit = {}
         # Rules with a time limit do not apply to orders that a worker executes late.
         self.is_late_order = False
         # Lists of (worker, life, run) by task reference.
@@ -111,13 +133,9 @@
             )
         if job.answers and all(answer == "refused" for answer in job.answers):
             self.report("REFUSED", f"{ref} started although its job was refused")
-        is_cancelled = job.cancelled_at is not None
-        if (
-            is_cancelled
-            and not self.is_late_order
-            and (now > job.cancelled_at + CANCEL_LIMIT_SECONDS)
-        ):
-            self.report("UNASKED", f"{ref} started after the cancel of its job")
+        if not self.is_late_order:
+            self._check_closed_job(ref, job, now)
+            self._check_crashes(ref, run)
         self._live.setdefault(ref, []).append((worker, worker.life, run))
         self._starts.setdefault(ref, []).append(now)
 
@@ -138,6 +156,16 @@
         if end.how == EndKind.DONE:
             self._done.setdefault(end.ref, []).append(end_record)
 
+    def note_crash(self, worker, cause):
+        """Record a crash of a worker; ``cause`` is the run that crashed it, if any."""
+        incarnation = worker.entry.worker_id, worker.life
+        refs = {run.ref for run in worker.runs.values()}
+        if cause is not None:
+            refs.add(cause.ref)
+            self.own_crashes.setdefault(cause.ref, []).append(incarnation)
+        for ref in refs:
+            self._crashes.setdefault(ref, set()).add(incarnation)
+
     def note_lost(self, worker, run):
         """Remove a run that was lost with its worker."""
         self._remove_live(run)
@@ -176,11 +204,9 @@
             self.report(
                 "LOST", f"{job.job_id} answered as cancelled without a cancel request"
             )
-        if state == JobState.FAILED and not self._has_failed(job):
-            self.report(
-                "LOST",
-                f"{job.job_id} answered as failed below the limit of attempts",
-            )
+        if state == JobState.FAILED and job.failed_at is None:
+            job.failed_at = anyio.current_time()
+            self._check_failure(job)
         job.last_state = state
 
     def note_missing(self, job):
@@ -201,6 +227,38 @@
             if worker.is_up and worker.life == life
         ]
 
+    def _check_failure(self, job):
+        if self._has_failed(job):
+            return
+        if not self._may_be_given_up(job):
+            self.report(
+                "LOST",
+                f"{job.job_id} answered as failed below the limits of attempts and "
+                "of crashes",
+            )
+        elif not job.crashing_tasks:
+            self.innocent_failed_jobs.append(job)
+
+    def _check_closed_job(self, ref, job, now):
+        for closed_at, event in (
+            (job.cancelled_at, "the cancel of its job"),
+            (job.failed_at, "its job was answered as failed"),
+        ):
+            if closed_at is not None and now > closed_at + CANCEL_LIMIT_SECONDS:
+                self.report("UNASKED", f"{ref} started after {event}")
+
+    def _check_crashes(self, ref, run):
+        if len(self.own_crashes.get(ref, ())) < LIMIT_CRASHES_COUNT:
+            return
+        count = self._starts_above_limit.get(ref, 0) + 1
+        self._starts_above_limit[ref] = count
+        if count == LIMIT_STARTS_COUNT:
+            self.report(
+                "BUDGET",
+                f"{ref} run {run.number} is start {count} after "
+                f"{LIMIT_CRASHES_COUNT} workers had crashed under it",
+            )
+
     def _check_placement(self, worker, run, job, now):
         step = job.steps[run.ref.step]
         if not worker.used.plus(step.resources).fits_in(worker.entry.capacity):
@@ -263,6 +321,15 @@
                 failed_runs.setdefault(key, set()).add(end_record["run"])
         return any(len(runs) >= job.attempts_limit for runs in failed_runs.values())
 
+    def _may_be_given_up(self, job):
+        """Return whether enough workers have crashed under a task of a job."""
+        return any(
+            len(incarnations) >= GIVE_UP_CRASHES_COUNT
+            and (not job.crashing_tasks or (ref.step, ref.index) in job.crashing_tasks)
+            for ref, incarnations in self._crashes.items()
+            if ref.job_id == job.job_id
+        )
+
     def _remove_live(self, run):
         runs = self._live.get(run.ref, [])
         self._live[run.ref] = [item for item in runs if item[2] is not run]
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -1,6 +1,7 @@
 """Seeded simulation of load and faults on the in-memory cluster."""
 
 import random
+from functools import partial
 from unittest import mock
 
 import anyio
@@ -9,6 +10,7 @@
 
 from emulator.cluster import Cluster, closure_key
 from emulator.virtual_clock import run_virtual
+from emulator.worker_crashes import unreplaced_ids
 from kingcuptrack.coordination import admissions, scheduler
 from kingcuptrack.coordination.admissions import JobRequest
 from kingcuptrack.outcomes import Done, Refused
@@ -19,6 +21,12 @@
 
 from .invariants import InvariantChecker, ObservedJob
 from .reference_planning import check_kept_figures
+from .worker_faults import (
+    choose_crashing_tasks,
+    crash_workers,
+    disrupt_orders,
+    slow_down_workers,
+)
 
 LOAD_SECONDS = 30.0
 # Every accepted job must finish within this time after the load. It covers a lapse of
@@ -67,6 +75,7 @@
     checker: InvariantChecker
     rng: random.Random
     tasks: object
+    crashing_share: float = 0.0
     log: list = attrs.field(factory=list)
 
     def note(self, message):
@@ -75,7 +84,13 @@
 
 
 def run_simulation(
-    seed, faults, *, jobs_count=30, load_seconds=LOAD_SECONDS, instance_cores=()
+    seed,
+    faults,
+    *,
+    jobs_count=30,
+    load_seconds=LOAD_SECONDS,
+    instance_cores=(),
+    crashing_share=0.0,
 ):
     """Run one simulation and return its `InvariantChecker`.
 
@@ -89,6 +104,8 @@
         Time over which the jobs are submitted.
     instance_cores : sequence of float
         Processor time of the first instances; unknown for the others.
+    crashing_share : float
+        Share of the jobs with a task that crashes each worker that starts it.
     """
     # One run logs thousands of lines, stamped with wall clock time and not with
     # virtual time.
@@ -96,7 +113,13 @@
     try:
         with mock.patch.object(scheduler, "make_plan", _plan_with_checked_figures):
             return run_virtual(
-                _simulate, seed, faults, jobs_count, load_seconds, instance_cores
+                _simulate,
+                seed,
+                faults,
+                jobs_count,
+                load_seconds,
+                instance_cores,
+                crashing_share,
             )
     finally:
         logger.enable("kingcuptrack")
@@ -108,14 +131,22 @@
     return make_plan(shard_state, *arguments, **keywords)
 
 
-async def _simulate(seed, faults, jobs_count, load_seconds, instance_cores):
+async def _simulate(
+    seed, faults, jobs_count, load_seconds, instance_cores, crashing_share
+):
     rng = random.Random(seed)
     checker = InvariantChecker()
     async with anyio.create_task_group() as tasks:
         cluster = Cluster(
             tasks=tasks, rng=rng, observer=checker, instance_cores=instance_cores
         )
-        sim = Simulation(cluster=cluster, checker=checker, rng=rng, tasks=tasks)
+        sim = Simulation(
+            cluster=cluster,
+            checker=checker,
+            rng=rng,
+            tasks=tasks,
+            crashing_share=crashing_share,
+        )
         cluster.set_policy(make_policy())
         cluster.begin()
         await anyio.sleep(4.0)
@@ -186,6 +217,9 @@
     )
     sim.checker.jobs[job_id] = job
     sim.cluster.fleet.jobs[job_id] = steps, seconds, failing_runs
+    if sim.crashing_share and rng.random() < sim.crashing_share:
+        job.crashing_tasks = choose_crashing_tasks(rng, steps)
+        sim.cluster.fleet.crashing_tasks[job_id] = job.crashing_tasks
     await _submit(sim, job, queue)
     if job.accepted_at is None:
         return
@@ -358,49 +392,6 @@
     sim.cluster.fleet.faults.cut_pairs -= pairs
 
 
-async def crash_workers(sim, worker_ids, *, seconds):
-    """Crash workers and restart them under the same id with a higher life number."""
-    sim.note(f"{sorted(worker_ids)} crash for {seconds:.1f} s")
-    for worker_id in worker_ids:
-        sim.cluster.fleet.workers[worker_id].crash()
-    await anyio.sleep(seconds)
-    for worker_id in worker_ids:
-        worker = sim.cluster.fleet.workers[worker_id]
-        if not worker.is_up:
-            worker.begin_life(worker.life + 1)
-
-
-async def slow_down_workers(sim, worker_ids, *, seconds, factor):
-    """Slow down the runs that begin meanwhile; an infinite factor makes them hang."""
-    sim.note(f"{sorted(worker_ids)} {factor} times slower for {seconds:.1f} s")
-    for worker_id in worker_ids:
-        sim.cluster.fleet.workers[worker_id].slow_factor = factor
-    await anyio.sleep(seconds)
-    for worker_id in worker_ids:
-        sim.cluster.fleet.workers[worker_id].slow_factor = 1.0
-
-
-async def drain_workers(sim, worker_ids, *, seconds):
-    """Mark workers as draining, then remove them for good."""
-    sim.note(f"{sorted(worker_ids)} drain and end after {seconds:.1f} s")
-    sim.cluster.fleet.draining |= set(worker_ids)
-    await anyio.sleep(seconds)
-    for worker_id in worker_ids:
-        sim.cluster.fleet.workers[worker_id].crash()
-
-
-async def disrupt_orders(sim, *, seconds, lost_share, late_share):
-    """Leave orders to workers unanswered, or let workers execute them late."""
-    sim.note(
-        f"share of orders lost {lost_share}, executed late {late_share} "
-        f"for {seconds:.1f} s"
-    )
-    faults = sim.cluster.fleet.faults
-    faults.lost_share, faults.late_share = lost_share, late_share
-    await anyio.sleep(seconds)
-    faults.lost_share = faults.late_share = 0.0
-
-
 async def kill_members(sim, members, *, seconds):
     """Kill instances and start them again."""
     sim.note(f"{[member.name for member in members]} killed for {seconds:.1f} s")
@@ -443,14 +434,14 @@
     sim.cluster.store.forget_history()
 
 
-def random_fault(sim, version):
+def random_fault(sim, version, more):
     """Return a random fault as a coroutine function without arguments."""
     rng = sim.rng
     members = rng.sample(sim.cluster.members, rng.randint(1, 2))
     leader = sim.cluster.leader()
     if leader is not None and rng.random() < 0.5:
         members = [leader]
-    workers = rng.sample(sorted(sim.cluster.fleet.workers), rng.randint(1, 4))
+    workers = rng.sample(unreplaced_ids(sim.cluster.fleet), rng.randint(1, 4))
     seconds = rng.uniform(1.0, 8.0)
     share = rng.uniform(0.05, 0.5)
     faults = [
@@ -481,17 +472,22 @@
         lambda: slow_down_workers(
             sim, workers[:2], seconds=seconds, factor=rng.choice([6.0, float("inf")])
         ),
+        *(partial(fault, sim, workers, seconds=seconds) for fault in more),
     ]
     return rng.choice(faults)
 
 
-async def random_faults(sim):
-    """Inject random faults, which may overlap."""
+async def random_faults(sim, *, more=()):
+    """Inject random faults, which may overlap.
+
+    ``more`` holds further faults of workers: async functions with the parameters of
+    `crash_workers`.
+    """
     async with anyio.create_task_group() as tasks:
         version = 2
         while anyio.current_time() < LOAD_SECONDS:
             await anyio.sleep(sim.rng.uniform(0.2, 3.0))
-            tasks.start_soon(random_fault(sim, version))
+            tasks.start_soon(random_fault(sim, version, more))
             version += 1
 
 
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -15,7 +15,7 @@
 from kingcuptrack.state.progress import FINAL_STATES, JobState
 from kingcuptrack.state.steps import Resources, Step
 
-from . import simulation
+from . import simulation, worker_faults
 from .simulation import run_simulation
 from .support import check, function_tests
 
@@ -330,7 +330,7 @@
         for first in (0, 3):
             await anyio.sleep(5)
             ids = [f"w{number:02d}" for number in range(first, first + 3)]
-            await simulation.drain_workers(sim, ids, seconds=2)
+            await worker_faults.drain_workers(sim, ids, seconds=2)
 
     _check_result(run_simulation(13, faults))
 
