Tell tasks that crash their workers apart when several are started at once

Cause: crashes at the same time counted as a sign of a power cut in every round, so that neither the tasks nor their neighbours were started apart. First crashes of other tasks made a second crash unclear although those tasks had crashed further workers since, and a neighbour that had just been started hid the cause of a third one. A step in which a suspect was done waited for it.

Change: a task is a suspect from its second crash in any case. The crash of another worker does not count against the evidence if a task there has crashed workers before and since. Three certain crashes suffice unless another task started there has a history of its own. Waiting and started suspects of a step are counted from its runs.

--- a/kingcuptrack/state/crashes.py
+++ b/kingcuptrack/state/crashes.py
@@ -24,7 +24,8 @@
 # certain evidence, and for which suspects avoid the address of a crashed worker.
 RECENT_SECONDS = 10.0
 # Workers that must have crashed under a task before it is given up: if the last crash
-# has no other possible cause, and if unforeseen crashes of other workers are recent.
+# has no other possible cause, and if it has one, such as a task that was not suspected
+# before or something that makes other workers crash as well.
 CERTAIN_CRASHES_COUNT = 2
 UNCLEAR_CRASHES_COUNT = 3
 # Crashes that a task may have caused after which it is given up in any case: if at
@@ -75,45 +76,39 @@
             if now_seconds - crash.lost_at_seconds <= RECENT_SECONDS
         }
 
-    def lost_together(self, crash):
-        """Return the earlier found crashes of workers that were lost with this one."""
-        return [
-            other
-            for other in self._crashes
-            if other.address != crash.address
-            and _is_within(crash, other, COINCIDENCE_SECONDS)
-        ]
+    def recent(self, crash):
+        """Return the crashes at other addresses that were recent at the time of one."""
+        return [other for other in self._crashes if is_recent(other, crash)]
 
-    def has_unrelated(self, crash, job_id):
-        """Return whether another worker crashed recently, unforeseen, without a job."""
-        return any(
-            job_id not in other.job_ids and not other.is_foreseen
-            for other in self._crashes
-            if other.address != crash.address
-            and _is_within(crash, other, RECENT_SECONDS)
-        )
 
+def is_recent(other, crash):
+    """Return whether another worker was lost around the time of a crash."""
+    apart_seconds = abs(crash.lost_at_seconds - other.lost_at_seconds)
+    return other.address != crash.address and apart_seconds <= RECENT_SECONDS
 
-def _is_within(crash, other, seconds):
-    return abs(crash.lost_at_seconds - other.lost_at_seconds) <= seconds
 
+def is_coincidence(crash, job_id, unforeseen):
+    """Return whether a crash seems to have a cause outside of a job.
 
-def is_coincidence(job_id, lost_together):
-    """Return whether the workers lost together point to a cause outside of a job.
+    That is so if several workers were lost together, some without a task of the job.
 
     Parameters
     ----------
+    crash : Crash
     job_id : str
-    lost_together : list of Crash
-        Other workers that were lost together with one that ran the job.
+    unforeseen : list of Crash
+        Recent crashes of other workers, where no task was suspected before.
     """
-    others_count = sum(
-        job_id not in crash.job_ids and not crash.is_foreseen for crash in lost_together
-    )
-    return others_count >= COINCIDENT_WORKERS_COUNT
+    others = [
+        other
+        for other in unforeseen
+        if job_id not in other.job_ids
+        and abs(crash.lost_at_seconds - other.lost_at_seconds) <= COINCIDENCE_SECONDS
+    ]
+    return len(others) >= COINCIDENT_WORKERS_COUNT
 
 
-def is_proven(task, crash, job_id, *, history, lost_together):
+def is_proven(task, crash, job_id, unforeseen, *, repeaters):
     """Return whether a task is given up as the cause of crashes.
 
     Parameters
@@ -123,21 +118,26 @@
         The newest crash under the task.
     job_id : str
         The job of the task.
-    history : CrashHistory
-    lost_together : list of Crash
-        Other workers that were lost together with this one.
+    unforeseen : list of Crash
+        Recent crashes of other workers, where no task was suspected before.
+    repeaters : set of str
+        Jobs with a task under which several workers have crashed.
     """
     certain_count = len(task.crashed_worker_ids)
     if certain_count < CERTAIN_CRASHES_COUNT:
         return task.crashes_count >= MOST_DOUBTFUL_CRASHES_COUNT
     if task.crashes_count >= MOST_CRASHES_COUNT:
         return True
-    is_sole_cause = crash.job_ids == {job_id}
-    if not is_sole_cause or is_coincidence(job_id, lost_together):
+    other_job_ids = crash.job_ids - {job_id}
+    if other_job_ids & repeaters:
         return False
-    if history.has_unrelated(crash, job_id):
-        return certain_count >= UNCLEAR_CRASHES_COUNT
-    return True
+    explaining = {job_id, *repeaters}
+    is_clear = (
+        not other_job_ids
+        and not is_coincidence(crash, job_id, unforeseen)
+        and not any(explaining.isdisjoint(other.job_ids) for other in unforeseen)
+    )
+    return is_clear or certain_count >= UNCLEAR_CRASHES_COUNT
 
 
 @attrs.frozen(kw_only=True)
@@ -168,6 +168,8 @@
         self._history = CrashHistory()
         # Jobs with suspected tasks, by id.
         self._suspect_jobs = {}
+        # Jobs with a task under which workers have crashed more than once.
+        self._repeaters = set()
 
     def restore(self, job):
         """Suspect the tasks of a stored job under which workers have crashed."""
@@ -182,6 +184,8 @@
                             index=index,
                         )
                         self._suspect(job, ref)
+                        if task.crashes_count >= CERTAIN_CRASHES_COUNT:
+                            self._repeaters.add(job.submission.job_id)
 
     def held_worker_ids(self):
         """Return the workers where a suspect was started that is not cleared yet."""
@@ -221,7 +225,7 @@
             # The end of a worker that leaves was to be expected.
             return CrashFinding()
         crash = self._make_crash(worker, suspects, now_seconds)
-        lost_together = self._find_lost_together(worker, crash)
+        unforeseen = self._find_unforeseen(worker, crash)
         changed_job_ids, given_up = set(), {}
         for run in suspects:
             task = self._find_open_task(run)
@@ -229,15 +233,17 @@
                 continue
             job_id = run.ref.job_id
             changed_job_ids.add(job_id)
-            if not is_coincidence(job_id, lost_together):
-                self._suspect(self._jobs[job_id], run.ref)
             if run.phase == RunPhase.CONFIRMED:
                 task.crashed_worker_ids.append(worker.worker_id)
             else:
                 task.doubtful_crashes_count += 1
-            if is_proven(
-                task, crash, job_id, history=self._history, lost_together=lost_together
+            if task.crashes_count >= CERTAIN_CRASHES_COUNT:
+                self._repeaters.add(job_id)
+            if job_id in self._repeaters or not is_coincidence(
+                crash, job_id, unforeseen
             ):
+                self._suspect(self._jobs[job_id], run.ref)
+            if is_proven(task, crash, job_id, unforeseen, repeaters=self._repeaters):
                 given_up[job_id] = _describe_crashes(run.ref, task)
         self._history.record(crash)
         return CrashFinding(
@@ -254,10 +260,10 @@
         worker.lapsed_suspects += suspects
         worker.watched_until_seconds = now_seconds + WATCH_SECONDS
         crash = self._make_crash(worker, suspects, now_seconds)
-        lost_together = self._find_lost_together(worker, crash)
+        unforeseen = self._find_unforeseen(worker, crash)
         for run in suspects:
             is_open = self._find_open_task(run) is not None
-            if is_open and not is_coincidence(run.ref.job_id, lost_together):
+            if is_open and not is_coincidence(crash, run.ref.job_id, unforeseen):
                 self._suspect(self._jobs[run.ref.job_id], run.ref)
 
     def note_answer(self, worker):
@@ -278,6 +284,7 @@
         if run.ref not in job.suspect_refs and not task.crashes_count:
             return False
         task.clear_crashes()
+        self._repeaters.discard(run.ref.job_id)
         job.suspect_refs.discard(run.ref)
         job.has_survivor = True
         job.ready_units = None
@@ -316,18 +323,23 @@
             for other in self._jobs[run.ref.job_id].runs.values()
         )
 
-    def _find_lost_together(self, worker, crash):
-        """Return the crashes, also those not found yet, at the time of this one."""
+    def _find_unforeseen(self, worker, crash):
+        """Return the recent crashes of other workers where no task was a suspect.
+
+        Workers that have stopped to answer may have crashed.
+        """
         silent = [
             self._make_crash(other, _find_suspects(other.runs.values()), 0.0)
             for other in self._workers.values()
             if other is not worker
             and not other.is_replaced
             and other.lost_at_seconds is not None
-            and abs(other.lost_at_seconds - crash.lost_at_seconds)
-            <= COINCIDENCE_SECONDS
         ]
-        return [*self._history.lost_together(crash), *silent]
+        return [
+            other
+            for other in [*self._history.recent(crash), *silent]
+            if is_recent(other, crash) and not other.is_foreseen
+        ]
 
 
 def _find_suspects(runs):
--- a/kingcuptrack/state/scheduling_units.py
+++ b/kingcuptrack/state/scheduling_units.py
@@ -110,24 +110,29 @@
     cleared, so that a step whose tasks all crash their workers takes down one worker
     more.
     """
-    suspects = [
+    if not job.suspect_refs:
+        return [(waiting, False)]
+    indexes = {
         ref.index
         for ref in job.suspect_refs
         if (ref.occurrence, ref.step) == (occurrence, number)
-    ]
-    if not suspects:
+    }
+    suspects = tuple(index for index in waiting if index in indexes)
+    has_started_suspect = any(
+        run.ref.index in indexes for run in job.step_runs(occurrence, number)
+    )
+    if not suspects and not has_started_suspect:
         return [(waiting, False)]
     if job.submission.steps[number].is_gang:
         return [(waiting, True)]
-    waiting_suspects = tuple(index for index in waiting if index in suspects)
     if not job.has_survivor:
-        if len(waiting_suspects) < len(suspects):
+        if has_started_suspect:
             return []
         tasks = job.progress.occurrences[occurrence][number].tasks
-        first = max(waiting_suspects, key=lambda index: tasks[index].crashes_count)
+        first = max(suspects, key=lambda index: tasks[index].crashes_count)
         return [((first,), True)]
-    others = tuple(index for index in waiting if index not in suspects)
-    parts = [(others, False), (waiting_suspects, True)]
+    others = tuple(index for index in waiting if index not in indexes)
+    parts = [(others, False), (suspects, True)]
     return [(indexes, is_suspect) for indexes, is_suspect in parts if indexes]
 
 
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -304,3 +304,45 @@
     check.assertEqual(job.suspect_refs, set())
     check.assertEqual(crashes_count(job), 0)
     check.assertEqual(shard_state.held_worker_ids(), set())
+
+
+def test_a_task_hides_behind_new_neighbours():
+    """Guards against crashes that never count because each has a second suspect."""
+    shard_state = make_crash_state()
+    job = add_job(shard_state, "bad", make_step())
+    for number in (1, 2, 3):
+        other_id = f"other-{number}"
+        add_job(shard_state, other_id, make_step())
+        start_run(
+            shard_state,
+            other_id,
+            f"w{number}",
+            number=1,
+            now_seconds=APART_SECONDS * number,
+        )
+        start_and_crash(
+            shard_state,
+            ["bad"],
+            f"w{number}",
+            number=number,
+            now_seconds=APART_SECONDS * number,
+        )
+    check.assertEqual(job.progress.state, JobState.FAILED)
+    states = [shard_state.jobs[f"other-{n}"].progress.state for n in (1, 2, 3)]
+    check.assertNotIn(JobState.FAILED, states)
+
+
+def test_tasks_crash_together_again_after_two_power_cuts():
+    """Guards against tasks that are started beside each other in every round."""
+    shard_state = make_crash_state()
+    job = add_job(shard_state, "bad", make_step())
+    for number, worker_ids in ((1, WORKER_IDS[:4]), (2, WORKER_IDS[4:])):
+        now_seconds = 20.0 * number
+        start_run(
+            shard_state, "bad", worker_ids[0], number=number, now_seconds=now_seconds
+        )
+        for worker_id in worker_ids:
+            shard_state.note_lost(worker_id, now_seconds=now_seconds)
+        shard_state.end_replaced_worker(worker_ids[0], now_seconds=now_seconds + 1.0)
+        is_suspect = make_ref("bad") in job.suspect_refs
+        check.assertEqual(is_suspect, number == 2)
