Clear a suspected task that is done

Cause: only a run that was listed for a second, or that failed, cleared its task. A suspect that was done within a second stayed in the job's suspects, and the other tasks of its step waited for it until the next takeover.

Change: the end `done` clears the task as well.

test_a_step_stalls_after_a_short_suspect_is_done failed before.

--- a/kingcuptrack/state/shard_state.py
+++ b/kingcuptrack/state/shard_state.py
@@ -472,6 +472,7 @@
         step = job.submission.steps[run.ref.step]
         if how == "failed":
             job.failed_worker_ids.add(run.worker_id)
+        if how in ("done", "failed"):
             self._clear_suspicion(run)
         if how == "done" and run.is_start_observed and not run.is_remote:
             self.run_times.learn(
--- a/tests/test_separate_starts.py
+++ b/tests/test_separate_starts.py
@@ -95,6 +95,18 @@
     check.assertEqual(len(placed_workers(plan, "wide")), 11)
 
 
+def test_a_step_stalls_after_a_short_suspect_is_done():
+    """Guards against a wait for a suspect that was done within a second."""
+    shard_state = make_shard_state({"r0": ["w0", "w1", "w2"]})
+    job = add_job(shard_state, "job", make_step(tasks=3))
+    crash_under(shard_state, "job", "w0", indexes=(0, 1))
+    start_run(shard_state, "job", "w1", number=2, now_seconds=0.5)
+    end = (1, make_ref("job"), 2, "done")
+    shard_state.apply_report("w1", make_report(now_seconds=0.7, ended=[end]))
+    check.assertEqual(len(placed_workers(plan_at(shard_state, 0.8), "job")), 2)
+    check.assertEqual({ref.index for ref in job.suspect_refs}, {1})
+
+
 def test_a_suspected_gang_starts_in_part():
     """Guards against a gang of which only the suspects start."""
     shard_state = make_shard_state({"r0": ["w0", "w1"], "r1": ["w2", "w3"]})
