Record one crash for each replaced worker

Cause: a session polls a replaced worker as long as its entry is listed, every tenth of a second while an order there has no answer, and each refusal recorded a crash again. Each counted against a task with such an order, so that a sound job was given up after one crash. The repeated crashes named no job, and so looked like unrelated ones, lost together with the next: tasks were not suspected, or not given up. The log and the metric counted them, too.

Change: only the first refusal records a crash.

test_each_refusal_of_a_replaced_worker_counts_as_a_crash and test_later_refusals_of_a_replaced_worker_look_like_unrelated_crashes failed before.

--- a/kingcuptrack/state/shard_state.py
+++ b/kingcuptrack/state/shard_state.py
@@ -303,8 +303,9 @@
         are refused.
         """
         worker = self._worker(worker_id)
-        worker.is_replaced = True
-        self._record_crash(worker, now_seconds=now_seconds)
+        if not worker.is_replaced:
+            worker.is_replaced = True
+            self._record_crash(worker, now_seconds=now_seconds)
         lost = [
             run
             for run in worker.runs.values()
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -262,3 +262,27 @@
             for job in jobs:
                 job.suspect_refs.add(make_ref(job.submission.job_id))
     check.assertEqual({job.progress.state for job in jobs}, {JobState.FAILED})
+
+
+def test_each_refusal_of_a_replaced_worker_counts_as_a_crash():
+    """Guards against a job given up for one crash, while its order has no answer."""
+    shard_state = make_crash_state()
+    job = add_job(shard_state, "job", make_step())
+    run = shard_state.claim(make_ref("job"), "w0", number=1, now_seconds=0.0)
+    run.phase = RunPhase.ORDERED
+    shard_state.note_lost("w0", now_seconds=0.1)
+    for number in range(6):
+        shard_state.end_replaced_worker("w0", now_seconds=0.1 + 0.1 * number)
+    check.assertEqual(crashes_count(job), 1)
+    check.assertEqual(job.progress.state, JobState.QUEUED)
+    check.assertEqual(len(shard_state.take_crash_findings()), 1)
+
+
+def test_later_refusals_of_a_replaced_worker_look_like_unrelated_crashes():
+    """Guards against a first crash that makes the cause of the second one unclear."""
+    shard_state = make_crash_state()
+    job = add_job(shard_state, "bad", make_step())
+    start_and_crash(shard_state, ["bad"], "w0", number=1, now_seconds=0.0)
+    shard_state.end_replaced_worker("w0", now_seconds=APART_SECONDS)
+    start_and_crash(shard_state, ["bad"], "w1", number=2, now_seconds=APART_SECONDS)
+    check.assertEqual(job.progress.state, JobState.FAILED)
