Do not suspect a task that has survived since a crash found late

Cause: the runs of a silent worker end as lapsed, and its crash is found when another worker answers at its address, up to 30 s later. The task was suspected then even if its next run had survived. This run had cleared its task already and never did so again, so that its worker got no other work, and the waiting tasks of its step did not start, as long as it ran; for ever with tasks that last.

Change: such a crash counts only for tasks without a run that has survived.

test_a_crash_found_late_suspects_a_task_that_has_survived_elsewhere failed before.

--- a/kingcuptrack/state/crashes.py
+++ b/kingcuptrack/state/crashes.py
@@ -225,7 +225,7 @@
         changed_job_ids, given_up = set(), {}
         for run in suspects:
             task = self._find_open_task(run)
-            if task is None:
+            if task is None or self._has_survived_since(run):
                 continue
             job_id = run.ref.job_id
             changed_job_ids.add(job_id)
@@ -309,6 +309,13 @@
         task = job.progress.task(run.ref)
         return None if task is None or task.is_done else task
 
+    def _has_survived_since(self, run):
+        """Return whether the task of a run that has ended survives in a newer run."""
+        return any(
+            other.ref == run.ref and other.has_survived
+            for other in self._jobs[run.ref.job_id].runs.values()
+        )
+
     def _find_lost_together(self, worker, crash):
         """Return the crashes, also those not found yet, at the time of this one."""
         silent = [
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -286,3 +286,21 @@
     shard_state.end_replaced_worker("w0", now_seconds=APART_SECONDS)
     start_and_crash(shard_state, ["bad"], "w1", number=2, now_seconds=APART_SECONDS)
     check.assertEqual(job.progress.state, JobState.FAILED)
+
+
+def test_a_crash_found_late_suspects_a_task_that_has_survived_elsewhere():
+    """Guards against a suspect that is never cleared, so that its step stalls."""
+    shard_state = make_crash_state()
+    job = add_job(shard_state, "job", make_step(tasks=2, is_long_running=True))
+    start_run(shard_state, "job", "w0")
+    shard_state.note_lost("w0", now_seconds=0.1)
+    shard_state.end_lapsed_runs("w0", now_seconds=7.0)
+    start_run(shard_state, "job", "w1", number=2, now_seconds=7.0)
+    running = [(make_ref("job"), 2, 1)]
+    for now_seconds in (7.1 + SURVIVAL_SECONDS, 60.0):
+        report = make_report(now_seconds=now_seconds, running=running)
+        shard_state.apply_report("w1", report)
+        shard_state.end_replaced_worker("w0", now_seconds=now_seconds)
+    check.assertEqual(job.suspect_refs, set())
+    check.assertEqual(crashes_count(job), 0)
+    check.assertEqual(shard_state.held_worker_ids(), set())
