Keep the crashes of a task whose start had no answer

Cause: a worker that answers again after its runs were ended as lapsed has not crashed, and cleared their tasks, also those whose start order had no answer and that it may never have started. Each cut link made the count of a task begin anew.

Change: only runs whose start the worker had confirmed clear their tasks.

test_a_start_without_an_answer_clears_its_task failed before.

--- a/kingcuptrack/state/crashes.py
+++ b/kingcuptrack/state/crashes.py
@@ -263,11 +263,11 @@
     def note_answer(self, worker):
         """Record that a worker answers.
 
-        Returns the runs that it is cleared of having crashed under: it has not crashed.
+        Returns the runs that it has started and not crashed under.
         """
-        cleared, worker.lapsed_suspects = worker.lapsed_suspects, []
+        lapsed, worker.lapsed_suspects = worker.lapsed_suspects, []
         worker.lost_at_seconds = None
-        return cleared
+        return [run for run in lapsed if run.phase == RunPhase.CONFIRMED]
 
     def note_survival(self, run):
         """Clear a task that has run for some time; returns whether it was suspected."""
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -304,3 +304,16 @@
     check.assertEqual(job.suspect_refs, set())
     check.assertEqual(crashes_count(job), 0)
     check.assertEqual(shard_state.held_worker_ids(), set())
+
+
+def test_a_start_without_an_answer_clears_its_task():
+    """Guards against a count that begins anew when a worker was only cut off."""
+    shard_state = make_crash_state()
+    job = add_job(shard_state, "bad", make_step())
+    start_and_crash(shard_state, ["bad"], "w0", number=1, now_seconds=0.0)
+    run = shard_state.claim(make_ref("bad"), "w1", number=2, now_seconds=2.0)
+    run.phase = RunPhase.UNSETTLED
+    shard_state.note_lost("w1", now_seconds=2.1)
+    shard_state.end_lapsed_runs("w1", now_seconds=9.0)
+    shard_state.apply_report("w1", make_report(now_seconds=10.0))
+    check.assertEqual(crashes_count(job), 1)
