--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -317,3 +317,18 @@
     shard_state.end_lapsed_runs("w1", now_seconds=9.0)
     shard_state.apply_report("w1", make_report(now_seconds=10.0))
     check.assertEqual(crashes_count(job), 1)
+
+
+def test_crashes_of_workers_that_do_not_return_are_not_counted():
+    """Guards against unlimited starts when no worker answers at the address again."""
+    shard_state = make_crash_state()
+    job = add_job(shard_state, "bad", make_step())
+    for number in range(1, 6):
+        worker_id, now_seconds = f"w{number}", 50.0 * number
+        start_run(shard_state, "bad", worker_id, number=number, now_seconds=now_seconds)
+        shard_state.note_lost(worker_id, now_seconds=now_seconds)
+        shard_state.end_lapsed_runs(worker_id, now_seconds=now_seconds + 7.0)
+        entries = [make_entry(name) for name in WORKER_IDS[number + 1 :]]
+        shard_state.set_worker_entries(entries, now_seconds=now_seconds + 7.0)
+        shard_state.set_worker_entries(entries, now_seconds=now_seconds + 45.0)
+    check.assertEqual(job.progress.state, JobState.FAILED)
