--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -332,3 +332,19 @@
         shard_state.set_worker_entries(entries, now_seconds=now_seconds + 7.0)
         shard_state.set_worker_entries(entries, now_seconds=now_seconds + 45.0)
     check.assertEqual(job.progress.state, JobState.FAILED)
+
+
+def test_a_new_life_found_after_a_takeover_is_no_crash():
+    """Guards against unlimited starts when each crash is found by the next leader."""
+    shard_state = make_crash_state()
+    job = add_job(shard_state, "bad", make_step())
+    for number in range(1, 6):
+        start_run(shard_state, "bad", "w0", number=number)
+        restored = make_shard_state({})
+        restored.set_worker_entries([make_entry("w0")], now_seconds=0.0)
+        progress = decode_progress(encode_progress(job.progress))
+        job = restored.add_job(job.submission, now_seconds=0.0, progress=progress)
+        report = make_report(now_seconds=1.0, clock_seconds=0.1, life=number + 1)
+        restored.apply_report("w0", report)
+        shard_state = restored
+    check.assertEqual(job.progress.state, JobState.FAILED)
