--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -348,3 +348,17 @@
         restored.apply_report("w0", report)
         shard_state = restored
     check.assertEqual(job.progress.state, JobState.FAILED)
+
+
+def test_a_silent_worker_is_not_watched_after_a_takeover():
+    """Guards against a crash found by a leader that has not seen the lapse."""
+    shard_state = make_crash_state()
+    job = add_job(shard_state, "bad", make_step())
+    start_run(shard_state, "bad", "w0")
+    shard_state.note_lost("w0", now_seconds=0.1)
+    shard_state.end_lapsed_runs("w0", now_seconds=7.0)
+    restored = make_crash_state()
+    progress = decode_progress(encode_progress(job.progress))
+    job = restored.add_job(job.submission, now_seconds=8.0, progress=progress)
+    crash(restored, "w0", 9.0)
+    check.assertEqual(crashes_count(job), 1)
