--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -1,5 +1,6 @@
 """Attribution of crashes of workers to the tasks that were started there."""
 
+import attrs
 import msgspec
 
 from kingcuptrack.state.crashes import SURVIVAL_SECONDS
@@ -362,3 +363,15 @@
     job = restored.add_job(job.submission, now_seconds=8.0, progress=progress)
     crash(restored, "w0", 9.0)
     check.assertEqual(crashes_count(job), 1)
+
+
+def test_a_worker_that_crashes_by_itself_makes_its_task_guilty():
+    """Guards against a job given up because one machine crashes again and again."""
+    shard_state = make_crash_state()
+    job = add_job(shard_state, "job", make_step())
+    start_and_crash(shard_state, ["job"], "w0", number=1, now_seconds=0.0)
+    entry = attrs.evolve(make_entry("w0-again"), address="w0")
+    shard_state.set_worker_entries([entry], now_seconds=2.0)
+    shard_state.apply_report("w0-again", make_report(now_seconds=2.0))
+    start_and_crash(shard_state, ["job"], "w0-again", number=2, now_seconds=6.0)
+    check.assertEqual(job.progress.state, JobState.RUNNING)
