--- a/tests/test_separate_starts.py
+++ b/tests/test_separate_starts.py
@@ -162,3 +162,35 @@
     return make_plan(
         shard_state, POLICY, now_seconds=now_seconds, wall_seconds=now_seconds
     )
+
+
+def test_ends_of_other_tasks_prolong_the_wait_of_a_suspect():
+    """Guards against a suspect that waits as long as other tasks of its job end."""
+    shard_state = make_shard_state({"r0": ["w0", "w1"]})
+    add_job(shard_state, "job", make_step(tasks=1), make_step(tasks=20))
+    crash_under(shard_state, "job", "w0")
+    add_job(shard_state, "new", make_step(tasks=20))
+    placed = []
+    for index in range(10):
+        now_seconds = 2.0 + 2.0 * index
+        ref, new_ref = make_ref("job", index, step=1), make_ref("new", index)
+        shard_state.claim(ref, "w1", number=1, now_seconds=now_seconds)
+        start_run(shard_state, "new", "w1", index=index, now_seconds=now_seconds)
+        for end, running in (((ref, new_ref)), (new_ref, None)):
+            report = make_report(
+                now_seconds=now_seconds + 0.1,
+                ended=[(1, end, 1, "done")],
+                running=[(running, 1, 1)] if running else [],
+            )
+            shard_state.apply_report("w1", report)
+            if running:
+                plan = make_plan(
+                    shard_state,
+                    POLICY,
+                    now_seconds=now_seconds + 0.1,
+                    wall_seconds=now_seconds + 0.1,
+                )
+                placed += [
+                    placement.ref for group in plan.groups for placement in group
+                ]
+    check.assertIn(make_ref("job"), placed)
