Test that a job whose starts had no answer is not given up

Found by the random search: neighbours of a task that crashes its workers start with it again, since several such tasks crash workers within a second of each other.

--- a/tests/test_crash_search.py
+++ b/tests/test_crash_search.py
@@ -368,3 +368,8 @@
 def test_random_crashes_break_an_invariant():
     """Guards against lost jobs, and starts beyond the limit, after crashes."""
     _check_seeds(range(60), longest_down_seconds=5.0, has_takeovers=False)
+
+
+def test_a_job_is_given_up_for_crashes_before_its_start():
+    """Guards against a sound job whose orders follow those of a task that crashes."""
+    _check_seeds((77, 906), longest_down_seconds=5.0, has_takeovers=False)
