--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -1,5 +1,6 @@
 """Attribution of crashes of workers to the tasks that were started there."""
 
+import attrs
 import msgspec
 
 from kingcuptrack.state.crashes import SURVIVAL_SECONDS
@@ -346,3 +347,73 @@
         shard_state.end_replaced_worker(worker_ids[0], now_seconds=now_seconds + 1.0)
         is_suspect = make_ref("bad") in job.suspect_refs
         check.assertEqual(is_suspect, number == 2)
+
+
+def test_a_start_without_an_answer_clears_its_task():
+    """Guards against a count that begins anew when a worker was only cut off."""
+    shard_state = make_crash_state()
+    job = add_job(shard_state, "bad", make_step())
+    start_and_crash(shard_state, ["bad"], "w0", number=1, now_seconds=0.0)
+    run = shard_state.claim(make_ref("bad"), "w1", number=2, now_seconds=2.0)
+    run.phase = RunPhase.UNSETTLED
+    shard_state.note_lost("w1", now_seconds=2.1)
+    shard_state.end_lapsed_runs("w1", now_seconds=9.0)
+    shard_state.apply_report("w1", make_report(now_seconds=10.0))
+    check.assertEqual(crashes_count(job), 1)
+
+
+def test_crashes_of_workers_that_do_not_return_are_not_counted():
+    """Guards against unlimited starts when no worker answers at the address again."""
+    shard_state = make_crash_state()
+    job = add_job(shard_state, "bad", make_step())
+    for number in range(1, 6):
+        worker_id, now_seconds = f"w{number}", 50.0 * number
+        start_run(shard_state, "bad", worker_id, number=number, now_seconds=now_seconds)
+        shard_state.note_lost(worker_id, now_seconds=now_seconds)
+        shard_state.end_lapsed_runs(worker_id, now_seconds=now_seconds + 7.0)
+        entries = [make_entry(name) for name in WORKER_IDS[number + 1 :]]
+        shard_state.set_worker_entries(entries, now_seconds=now_seconds + 7.0)
+        shard_state.set_worker_entries(entries, now_seconds=now_seconds + 45.0)
+    check.assertEqual(job.progress.state, JobState.FAILED)
+
+
+def test_a_new_life_found_after_a_takeover_is_no_crash():
+    """Guards against unlimited starts when each crash is found by the next leader."""
+    shard_state = make_crash_state()
+    job = add_job(shard_state, "bad", make_step())
+    for number in range(1, 6):
+        start_run(shard_state, "bad", "w0", number=number)
+        restored = make_shard_state({})
+        restored.set_worker_entries([make_entry("w0")], now_seconds=0.0)
+        progress = decode_progress(encode_progress(job.progress))
+        job = restored.add_job(job.submission, now_seconds=0.0, progress=progress)
+        report = make_report(now_seconds=1.0, clock_seconds=0.1, life=number + 1)
+        restored.apply_report("w0", report)
+        shard_state = restored
+    check.assertEqual(job.progress.state, JobState.FAILED)
+
+
+def test_a_silent_worker_is_not_watched_after_a_takeover():
+    """Guards against a crash found by a leader that has not seen the lapse."""
+    shard_state = make_crash_state()
+    job = add_job(shard_state, "bad", make_step())
+    start_run(shard_state, "bad", "w0")
+    shard_state.note_lost("w0", now_seconds=0.1)
+    shard_state.end_lapsed_runs("w0", now_seconds=7.0)
+    restored = make_crash_state()
+    progress = decode_progress(encode_progress(job.progress))
+    job = restored.add_job(job.submission, now_seconds=8.0, progress=progress)
+    crash(restored, "w0", 9.0)
+    check.assertEqual(crashes_count(job), 1)
+
+
+def test_a_worker_that_crashes_by_itself_makes_its_task_guilty():
+    """Guards against a job given up because one machine crashes again and again."""
+    shard_state = make_crash_state()
+    job = add_job(shard_state, "job", make_step())
+    start_and_crash(shard_state, ["job"], "w0", number=1, now_seconds=0.0)
+    entry = attrs.evolve(make_entry("w0-again"), address="w0")
+    shard_state.set_worker_entries([entry], now_seconds=2.0)
+    shard_state.apply_report("w0-again", make_report(now_seconds=2.0))
+    start_and_crash(shard_state, ["job"], "w0-again", number=2, now_seconds=6.0)
+    check.assertEqual(job.progress.state, JobState.RUNNING)
