Count the lapse of a run that may have crashed its worker as a doubtful crash

Callers saw nothing yet; found by the review. Cause: a worker that returns later than the lapse of its leases, or not at all, counted only once its crash was found, or never, and the suspicion was kept in memory. A task could be started without limit.

Change: a lapse counts as a doubtful crash in the row; it becomes a certain one when the crash is found, and is taken back when the worker answers in the same life. Doubtful crashes alone give a task up only if the last one has no other possible cause.

--- a/kingcuptrack/coordination/scheduler.py
+++ b/kingcuptrack/coordination/scheduler.py
@@ -267,7 +267,9 @@
     def _log_crashes(self):
         for worker_id, finding in self.shard_state.take_crash_findings():
             log_crash(worker_id, finding)
-            self._metrics.count_worker_crash(is_cause_known=bool(finding.given_up))
+            if finding.is_certain:
+                is_cause_known = bool(finding.given_up)
+                self._metrics.count_worker_crash(is_cause_known=is_cause_known)
 
     def _note_job_rows(self):
         self._wake_stopping_sessions()
@@ -328,6 +330,7 @@
                             now_seconds - worker.answered_at_seconds, 3
                         ),
                     )
+                self._log_crashes()
                 self._wake_stopping_sessions()
                 self._request_commit()
 
--- a/kingcuptrack/state/crashes.py
+++ b/kingcuptrack/state/crashes.py
@@ -28,8 +28,9 @@
 # before or something that makes other workers crash as well.
 CERTAIN_CRASHES_COUNT = 2
 UNCLEAR_CRASHES_COUNT = 3
-# Crashes that a task may have caused after which it is given up in any case: if at
-# least `CERTAIN_CRASHES_COUNT` workers had certainly started it, and if not.
+# Crashes that a task may have caused after which it is given up: if at least
+# `CERTAIN_CRASHES_COUNT` workers had certainly started it, and if not, but the last
+# crash has no other possible cause.
 MOST_CRASHES_COUNT = 4
 MOST_DOUBTFUL_CRASHES_COUNT = 5
 # Time for which a worker that was given up as silent is watched for its return, which
@@ -124,11 +125,12 @@
         Jobs with a task under which several workers have crashed.
     """
     certain_count = len(task.crashed_worker_ids)
+    other_job_ids = crash.job_ids - {job_id}
     if certain_count < CERTAIN_CRASHES_COUNT:
-        return task.crashes_count >= MOST_DOUBTFUL_CRASHES_COUNT
+        is_most = task.crashes_count >= MOST_DOUBTFUL_CRASHES_COUNT
+        return is_most and not other_job_ids
     if task.crashes_count >= MOST_CRASHES_COUNT:
         return True
-    other_job_ids = crash.job_ids - {job_id}
     if other_job_ids & repeaters:
         return False
     explaining = {job_id, *repeaters}
@@ -144,10 +146,12 @@
 class CrashFinding:
     """Result of a crash: the jobs whose progress changed, and those to give up.
 
+    ``is_certain`` means that the worker has crashed, and is not only silent.
     ``suspects`` are the tasks that may have caused it. ``given_up`` maps the id of a
     job to the reason.
     """
 
+    is_certain: bool = False
     suspects: tuple = ()
     changed_job_ids: frozenset[str] = frozenset()
     given_up: dict = attrs.field(factory=dict)
@@ -219,61 +223,45 @@
         -------
         CrashFinding
         """
-        suspects = [*_find_suspects(runs), *worker.lapsed_suspects]
-        worker.lapsed_suspects = []
-        if worker.last_entry is None or worker.last_entry.is_draining:
+        lapsed, worker.lapsed_suspects = worker.lapsed_suspects, []
+        if _is_leaving(worker):
             # The end of a worker that leaves was to be expected.
             return CrashFinding()
+        for run in lapsed:
+            # Counted when it lapsed, and again below.
+            self._withdraw_doubt(run)
+        suspects = [*_find_suspects(runs), *lapsed]
         crash = self._make_crash(worker, suspects, now_seconds)
-        unforeseen = self._find_unforeseen(worker, crash)
-        changed_job_ids, given_up = set(), {}
-        for run in suspects:
-            task = self._find_open_task(run)
-            if task is None or self._has_survived_since(run):
-                continue
-            job_id = run.ref.job_id
-            changed_job_ids.add(job_id)
-            if run.phase == RunPhase.CONFIRMED:
-                task.crashed_worker_ids.append(worker.worker_id)
-            else:
-                task.doubtful_crashes_count += 1
-            if task.crashes_count >= CERTAIN_CRASHES_COUNT:
-                self._repeaters.add(job_id)
-            if job_id in self._repeaters or not is_coincidence(
-                crash, job_id, unforeseen
-            ):
-                self._suspect(self._jobs[job_id], run.ref)
-            if is_proven(task, crash, job_id, unforeseen, repeaters=self._repeaters):
-                given_up[job_id] = _describe_crashes(run.ref, task)
+        finding = self._weigh(crash, suspects, crashed_worker_id=worker.worker_id)
         self._history.record(crash)
-        return CrashFinding(
-            suspects=tuple(run.ref for run in suspects),
-            changed_job_ids=frozenset(changed_job_ids),
-            given_up=given_up,
-        )
+        return attrs.evolve(finding, is_certain=True)
 
     def record_lapse(self, worker, runs, *, now_seconds):
-        """Watch a silent worker whose runs are ended: it may have crashed."""
+        """Record that the runs of a silent worker are ended: it may have crashed.
+
+        The worker is watched, since its return shows whether it has.
+
+        Returns
+        -------
+        CrashFinding
+        """
         suspects = _find_suspects(runs)
-        if not suspects:
-            return
+        if not suspects or _is_leaving(worker):
+            return CrashFinding()
         worker.lapsed_suspects += suspects
         worker.watched_until_seconds = now_seconds + WATCH_SECONDS
-        crash = self._make_crash(worker, suspects, now_seconds)
-        unforeseen = self._find_unforeseen(worker, crash)
-        for run in suspects:
-            is_open = self._find_open_task(run) is not None
-            if is_open and not is_coincidence(crash, run.ref.job_id, unforeseen):
-                self._suspect(self._jobs[run.ref.job_id], run.ref)
+        return self._weigh(self._make_crash(worker, suspects, now_seconds), suspects)
 
     def note_answer(self, worker):
         """Record that a worker answers.
 
-        Returns the runs that it has started and not crashed under.
+        Returns its runs that had lapsed: it has not crashed under them.
         """
         lapsed, worker.lapsed_suspects = worker.lapsed_suspects, []
         worker.lost_at_seconds = None
-        return [run for run in lapsed if run.phase == RunPhase.CONFIRMED]
+        for run in lapsed:
+            self._withdraw_doubt(run)
+        return lapsed
 
     def note_survival(self, run):
         """Clear a task that has run for some time; returns whether it was suspected."""
@@ -290,6 +278,40 @@
         job.ready_units = None
         return True
 
+    def _weigh(self, crash, suspects, *, crashed_worker_id=None):
+        """Count a crash against its suspects; it is doubtful without a worker id."""
+        unforeseen = self._find_unforeseen(crash)
+        changed_job_ids, given_up = set(), {}
+        for run in suspects:
+            task = self._find_open_task(run)
+            if task is None or self._has_survived_since(run):
+                continue
+            job_id = run.ref.job_id
+            changed_job_ids.add(job_id)
+            if crashed_worker_id and run.phase == RunPhase.CONFIRMED:
+                task.crashed_worker_ids.append(crashed_worker_id)
+            else:
+                task.doubtful_crashes_count += 1
+            if task.crashes_count >= CERTAIN_CRASHES_COUNT:
+                self._repeaters.add(job_id)
+            if job_id in self._repeaters or not is_coincidence(
+                crash, job_id, unforeseen
+            ):
+                self._suspect(self._jobs[job_id], run.ref)
+            if is_proven(task, crash, job_id, unforeseen, repeaters=self._repeaters):
+                given_up[job_id] = _describe_crashes(run.ref, task)
+        return CrashFinding(
+            suspects=tuple(run.ref for run in suspects),
+            changed_job_ids=frozenset(changed_job_ids),
+            given_up=given_up,
+        )
+
+    def _withdraw_doubt(self, run):
+        """Take back the doubtful crash that was counted when a run lapsed."""
+        task = self._find_open_task(run)
+        if task is not None and task.doubtful_crashes_count:
+            task.doubtful_crashes_count -= 1
+
     def _suspect(self, job, ref):
         job.suspect_refs.add(ref)
         job.has_survivor = False
@@ -323,7 +345,7 @@
             for other in self._jobs[run.ref.job_id].runs.values()
         )
 
-    def _find_unforeseen(self, worker, crash):
+    def _find_unforeseen(self, crash):
         """Return the recent crashes of other workers where no task was a suspect.
 
         Workers that have stopped to answer may have crashed.
@@ -331,9 +353,7 @@
         silent = [
             self._make_crash(other, _find_suspects(other.runs.values()), 0.0)
             for other in self._workers.values()
-            if other is not worker
-            and not other.is_replaced
-            and other.lost_at_seconds is not None
+            if not other.is_replaced and other.lost_at_seconds is not None
         ]
         return [
             other
@@ -342,6 +362,10 @@
         ]
 
 
+def _is_leaving(worker):
+    return worker.last_entry is None or worker.last_entry.is_draining
+
+
 def _find_suspects(runs):
     return [
         run for run in runs if run.phase != RunPhase.CLAIMED and not run.has_survived
--- a/kingcuptrack/state/shard_state.py
+++ b/kingcuptrack/state/shard_state.py
@@ -263,7 +263,10 @@
         if is_new_life and worker.life:
             self._record_crash(worker, now_seconds=report.received_at_seconds)
         for run in self._crashes.note_answer(worker):
-            self._clear_suspicion(run)
+            if run.phase == RunPhase.CONFIRMED:
+                self._clear_suspicion(run)
+            if run.ref.job_id in self.jobs:
+                self.dirty_job_ids.add(run.ref.job_id)
         worker.life = report.life
         worker.is_replaced = False
         worker.answered_at_seconds = report.received_at_seconds
@@ -291,7 +294,8 @@
         worker = self._worker(worker_id)
         runs = list(worker.runs.values())
         lapsed = [run for run in runs if run.phase != RunPhase.CLAIMED]
-        self._crashes.record_lapse(worker, lapsed, now_seconds=now_seconds)
+        finding = self._crashes.record_lapse(worker, lapsed, now_seconds=now_seconds)
+        self._apply_crash_finding(worker_id, finding)
         for run in lapsed:
             self._end_run(run, how=None, checkpoint="", now_seconds=now_seconds)
         return lapsed
@@ -336,7 +340,11 @@
         finding = self._crashes.record_crash(
             worker, worker.runs.values(), now_seconds=now_seconds
         )
-        self._crash_findings.append((worker.worker_id, finding))
+        self._apply_crash_finding(worker.worker_id, finding)
+
+    def _apply_crash_finding(self, worker_id, finding):
+        if finding.is_certain or finding.given_up:
+            self._crash_findings.append((worker_id, finding))
         self.dirty_job_ids.update(finding.changed_job_ids)
         for job_id, reason in finding.given_up.items():
             job = self.jobs[job_id]
