Doubt crashes at the address of an earlier one

Callers saw nothing yet; found by the review. Cause: a machine that crashes by itself returns under a new id, and two crashes there counted as two workers.

Change: a second crash at the same address does not suffice to give a task up.

--- a/kingcuptrack/state/crashes.py
+++ b/kingcuptrack/state/crashes.py
@@ -77,6 +77,13 @@
             if now_seconds - crash.lost_at_seconds <= RECENT_SECONDS
         }
 
+    def has_address(self, crash, job_id):
+        """Return whether a worker at the same address crashed under the same job."""
+        return any(
+            other.address == crash.address and job_id in other.job_ids
+            for other in self._crashes
+        )
+
     def recent(self, crash):
         """Return the crashes at other addresses that were recent at the time of one."""
         return [other for other in self._crashes if is_recent(other, crash)]
@@ -109,7 +116,7 @@
     return len(others) >= COINCIDENT_WORKERS_COUNT
 
 
-def is_proven(task, crash, job_id, unforeseen, *, repeaters):
+def is_proven(task, crash, job_id, unforeseen, *, repeaters, is_same_address):
     """Return whether a task is given up as the cause of crashes.
 
     Parameters
@@ -123,6 +130,8 @@
         Recent crashes of other workers, where no task was suspected before.
     repeaters : set of str
         Jobs with a task under which several workers have crashed.
+    is_same_address : bool
+        Whether an earlier crash under the job was at the same address.
     """
     certain_count = len(task.crashed_worker_ids)
     other_job_ids = crash.job_ids - {job_id}
@@ -136,6 +145,7 @@
     explaining = {job_id, *repeaters}
     is_clear = (
         not other_job_ids
+        and not is_same_address
         and not is_coincidence(crash, job_id, unforeseen)
         and not any(explaining.isdisjoint(other.job_ids) for other in unforeseen)
     )
@@ -298,7 +308,14 @@
                 crash, job_id, unforeseen
             ):
                 self._suspect(self._jobs[job_id], run.ref)
-            if is_proven(task, crash, job_id, unforeseen, repeaters=self._repeaters):
+            if is_proven(
+                task,
+                crash,
+                job_id,
+                unforeseen,
+                repeaters=self._repeaters,
+                is_same_address=self._history.has_address(crash, job_id),
+            ):
                 given_up[job_id] = _describe_crashes(run.ref, task)
         return CrashFinding(
             suspects=tuple(run.ref for run in suspects),
