Limit the wait of a suspect by the time since its suspicion

Callers saw nothing yet; found by the review. Cause: the wait for a worker by itself was counted from the latest end of any task of the job, so that a suspect could wait for as long as other tasks of its job ended.

Change: it is counted from the latest suspicion or clearing of a task of the job. As suspects start beside other work earlier, five crashes give a task up if it had certainly been started by one of these workers, also if the last one has other possible causes.

--- a/kingcuptrack/state/crashes.py
+++ b/kingcuptrack/state/crashes.py
@@ -29,8 +29,8 @@
 CERTAIN_CRASHES_COUNT = 2
 UNCLEAR_CRASHES_COUNT = 3
 # Crashes that a task may have caused after which it is given up: if at least
-# `CERTAIN_CRASHES_COUNT` workers had certainly started it, and if not, but the last
-# crash has no other possible cause.
+# `CERTAIN_CRASHES_COUNT` workers had certainly started it, and if one had, or none but
+# the last crash has no other possible cause.
 MOST_CRASHES_COUNT = 4
 MOST_DOUBTFUL_CRASHES_COUNT = 5
 # Time for which a worker that was given up as silent is watched for its return, which
@@ -137,7 +137,7 @@
     other_job_ids = crash.job_ids - {job_id}
     if certain_count < CERTAIN_CRASHES_COUNT:
         is_most = task.crashes_count >= MOST_DOUBTFUL_CRASHES_COUNT
-        return is_most and not other_job_ids
+        return is_most and bool(certain_count or not other_job_ids)
     if task.crashes_count >= MOST_CRASHES_COUNT:
         return True
     if other_job_ids & repeaters:
@@ -185,7 +185,7 @@
         # Jobs with a task under which workers have crashed more than once.
         self._repeaters = set()
 
-    def restore(self, job):
+    def restore(self, job, *, now_seconds):
         """Suspect the tasks of a stored job under which workers have crashed."""
         for occurrence, steps in job.progress.occurrences.items():
             for number, step in enumerate(steps):
@@ -197,7 +197,7 @@
                             step=number,
                             index=index,
                         )
-                        self._suspect(job, ref)
+                        self._suspect(job, ref, now_seconds)
                         if task.crashes_count >= CERTAIN_CRASHES_COUNT:
                             self._repeaters.add(job.submission.job_id)
 
@@ -242,7 +242,9 @@
             self._withdraw_doubt(run)
         suspects = [*_find_suspects(runs), *lapsed]
         crash = self._make_crash(worker, suspects, now_seconds)
-        finding = self._weigh(crash, suspects, crashed_worker_id=worker.worker_id)
+        finding = self._weigh(
+            crash, suspects, now_seconds, crashed_worker_id=worker.worker_id
+        )
         self._history.record(crash)
         return attrs.evolve(finding, is_certain=True)
 
@@ -260,7 +262,8 @@
             return CrashFinding()
         worker.lapsed_suspects += suspects
         worker.watched_until_seconds = now_seconds + WATCH_SECONDS
-        return self._weigh(self._make_crash(worker, suspects, now_seconds), suspects)
+        crash = self._make_crash(worker, suspects, now_seconds)
+        return self._weigh(crash, suspects, now_seconds)
 
     def note_answer(self, worker):
         """Record that a worker answers.
@@ -273,7 +276,7 @@
             self._withdraw_doubt(run)
         return lapsed
 
-    def note_survival(self, run):
+    def note_survival(self, run, *, now_seconds):
         """Clear a task that has run for some time; returns whether it was suspected."""
         task = self._find_open_task(run)
         if task is None:
@@ -285,10 +288,11 @@
         self._repeaters.discard(run.ref.job_id)
         job.suspect_refs.discard(run.ref)
         job.has_survivor = True
+        job.suspects_changed_at_seconds = now_seconds
         job.ready_units = None
         return True
 
-    def _weigh(self, crash, suspects, *, crashed_worker_id=None):
+    def _weigh(self, crash, suspects, now_seconds, *, crashed_worker_id=None):
         """Count a crash against its suspects; it is doubtful without a worker id."""
         unforeseen = self._find_unforeseen(crash)
         changed_job_ids, given_up = set(), {}
@@ -307,7 +311,7 @@
             if job_id in self._repeaters or not is_coincidence(
                 crash, job_id, unforeseen
             ):
-                self._suspect(self._jobs[job_id], run.ref)
+                self._suspect(self._jobs[job_id], run.ref, now_seconds)
             if is_proven(
                 task,
                 crash,
@@ -329,9 +333,10 @@
         if task is not None and task.doubtful_crashes_count:
             task.doubtful_crashes_count -= 1
 
-    def _suspect(self, job, ref):
+    def _suspect(self, job, ref, now_seconds):
         job.suspect_refs.add(ref)
         job.has_survivor = False
+        job.suspects_changed_at_seconds = now_seconds
         job.ready_units = None
         self._suspect_jobs[job.submission.job_id] = job
 
--- a/kingcuptrack/state/separate_starts.py
+++ b/kingcuptrack/state/separate_starts.py
@@ -28,7 +28,7 @@
         limit_seconds = WAIT_LIMIT_SECONDS
         if is_guaranteed:
             limit_seconds = GUARANTEED_WAIT_LIMIT_SECONDS
-        return self.now_seconds - unit.job.ready_since_seconds < limit_seconds
+        return self.now_seconds - unit.job.suspects_changed_at_seconds < limit_seconds
 
     def is_quiet(self, slot, job_id):
         """Return whether a crash of a worker could only be caused by a job."""
--- a/kingcuptrack/state/shard_entities.py
+++ b/kingcuptrack/state/shard_entities.py
@@ -106,7 +106,8 @@
 
     ``restarts`` counts restarts of stragglers by (occurrence, step). ``suspect_refs``
     are the tasks that may have crashed their worker; ``has_survivor`` means that one of
-    them has been cleared since the latest crash. ``ready_units`` are the units that are
+    them has been cleared since the latest crash. The last suspicion or clearing was at
+    ``suspects_changed_at_seconds``. ``ready_units`` are the units that are
     ready to start; None after a change that may affect them.
     """
 
@@ -120,6 +121,7 @@
     restarts: dict[tuple[int, int], int] = attrs.field(factory=dict)
     suspect_refs: set[TaskRef] = attrs.field(factory=set)
     has_survivor: bool = False
+    suspects_changed_at_seconds: float = 0.0
     is_final_logged: bool = False
     ready_units: tuple | None = None
 
--- a/kingcuptrack/state/shard_state.py
+++ b/kingcuptrack/state/shard_state.py
@@ -74,7 +74,7 @@
         self.jobs[job_id] = job
         self.placement_changes_count += 1
         self._restore_runs(job, now_seconds=now_seconds)
-        self._crashes.restore(job)
+        self._crashes.restore(job, now_seconds=now_seconds)
         if is_cancelled:
             self.cancel_job(job_id)
         return job
@@ -264,7 +264,7 @@
             self._record_crash(worker, now_seconds=report.received_at_seconds)
         for run in self._crashes.note_answer(worker):
             if run.phase == RunPhase.CONFIRMED:
-                self._clear_suspicion(run)
+                self._clear_suspicion(run, now_seconds=report.received_at_seconds)
             if run.ref.job_id in self.jobs:
                 self.dirty_job_ids.add(run.ref.job_id)
         worker.life = report.life
@@ -442,7 +442,7 @@
         running_seconds = report.clock_seconds - run.confirmed_clock_seconds
         if not run.has_survived and running_seconds >= SURVIVAL_SECONDS:
             run.has_survived = True
-            self._clear_suspicion(run)
+            self._clear_suspicion(run, now_seconds=now_seconds)
         if not run.is_progress_known:
             run.is_progress_known = True
             run.first_percent = run.percent = item.percent
@@ -482,7 +482,7 @@
         if how == "failed":
             job.failed_worker_ids.add(run.worker_id)
         if how in ("done", "failed"):
-            self._clear_suspicion(run)
+            self._clear_suspicion(run, now_seconds=now_seconds)
         if how == "done" and run.is_start_observed and not run.is_remote:
             self.run_times.learn(
                 job.submission.queue,
@@ -510,8 +510,8 @@
             self.placement_changes_count += 1
         self._update_job_state(job)
 
-    def _clear_suspicion(self, run):
-        if self._crashes.note_survival(run):
+    def _clear_suspicion(self, run, *, now_seconds):
+        if self._crashes.note_survival(run, now_seconds=now_seconds):
             self.dirty_job_ids.add(run.ref.job_id)
             self.placement_changes_count += 1
 
