Record the token of a failed reservation before the next one

Cause: a placer whose first reservation was refused reserved again with the next token without reading the row. If another placer had claimed the job meanwhile and the second choice was its workers, the newer token ended the running gang. The claim then conflicted and the job was dropped, but its tasks had been stopped: a repeatable job ran twice, any other ended as `unknown`.

No lease lapsed and no renewal was missing.

Change: an attempt that no row shows is recorded by compare-and-set before the next reservation. A conflict is resolved like that of a claim; if the job belongs to another placer it is dropped without stop requests, and the next scan adopts the gang. A claim with an equal or older token fails afterwards. The fixture of test_two_placers now cuts the link only after the second entry has yielded: both also place right after their start, so that the cut used to begin before or after a short spell with one placer.

--- a/kingcuptrack/coordination/attempts.py
+++ b/kingcuptrack/coordination/attempts.py
@@ -136,6 +136,13 @@
 async def _start(context, watch, job, run):
     """Reserve, claim and start; return the event if that ends the attempt."""
     calls = context.gang_calls
+    reason = await _record_earlier_token(context, job, run)
+    if reason:
+        # Without stop requests, which would end the gang of another placer.
+        if job.is_superseded:
+            return JobDropped(job_id=job.job_id, reason=reason)
+        return GangEnded(run=run, reason=reason)
+    job.is_token_unrecorded = True
     outcomes = await calls.reserve(run, row_version=job.row_version)
     unreserved_ids = _unsuccessful_worker_ids(outcomes)
     if unreserved_ids:
@@ -220,6 +227,31 @@
     return ""
 
 
+async def _record_earlier_token(context, job, run):
+    """Record the token of an attempt that no row shows; return a reason if that fails.
+
+    Another placer may have claimed the job with an equal or older token, and a
+    reservation with a newer one would end its tasks. After this write, it cannot claim
+    the job with these tokens any more.
+    """
+    if not job.row_version or not job.is_token_unrecorded:
+        return ""
+    if job.spec.is_repeatable and context.configuration.is_table_silent():
+        return ""
+    phase = Phase.CLAIMED if job.is_claimed else Phase.QUEUED
+    row = make_row(job, phase=phase, data_centre=context.data_centre, run=run)
+    row = attrs.evolve(row, attempt=run.key.token - 1)
+    outcome = await context.job_table.write(row, expected_version=job.row_version)
+    if isinstance(outcome, Refused) and outcome.code == "conflict":
+        return await _resolve_conflict(context, job, row, outcome.detail)
+    if isinstance(outcome, Done):
+        _store_row(job, outcome)
+        return ""
+    if job.spec.is_repeatable:
+        return ""
+    return f"earlier attempt not recorded: {outcome.message}"
+
+
 async def _claim(context, job, run):
     """Record the attempt in the job row; return a reason if it may not start."""
     if job.spec.is_repeatable and context.configuration.is_table_silent():
@@ -234,7 +266,7 @@
     if isinstance(outcome, Refused) and outcome.code == "conflict":
         return await _resolve_conflict(context, job, row, outcome.detail)
     if isinstance(outcome, Done):
-        _store_claim(job, outcome)
+        _store_row(job, outcome)
         return ""
     if job.spec.is_repeatable:
         # While the table is unavailable, only the workers' records prevent a second
@@ -268,14 +300,15 @@
         return "the job is claimed or moved elsewhere"
     outcome = await context.job_table.write(row, expected_version=current.version)
     if isinstance(outcome, Done):
-        _store_claim(job, outcome)
+        _store_row(job, outcome)
         return ""
     return "the job row changed again"
 
 
-def _store_claim(job, outcome):
+def _store_row(job, outcome):
     job.row_version = outcome.value.version
-    job.is_claimed = True
+    job.is_claimed = outcome.value.row.phase == Phase.CLAIMED
+    job.is_token_unrecorded = False
 
 
 async def _withdraw_claim(context, job):
--- a/kingcuptrack/coordination/open_jobs.py
+++ b/kingcuptrack/coordination/open_jobs.py
@@ -16,10 +16,11 @@
     if a row may exist nevertheless. ``queued_seconds`` is the time at which the job was
     first queued in any data centre, ``received_seconds`` the time at which this placer
     received it. ``token`` is the newest fencing token used, which may exceed the
-    attempt in the row. ``may_have_run`` covers all attempts. ``is_superseded`` is set
-    when the row is found to belong to another attempt. ``status`` is queued, starting,
-    running, stopping, delayed (to be queued again), moving, ending (the outcome is
-    being recorded) or final.
+    attempt in the row; ``is_token_unrecorded`` is set then if this placer used it.
+    ``may_have_run`` covers all attempts. ``is_superseded`` is set when the row is found
+    to belong to another attempt. ``status`` is queued, starting, running, stopping,
+    delayed (to be queued again), moving, ending (the outcome is being recorded) or
+    final.
     """
 
     job_id: str
@@ -30,6 +31,7 @@
     may_have_row: bool = False
     is_claimed: bool = False
     token: int = 0
+    is_token_unrecorded: bool = False
     status: str = "queued"
     run: GangRun | None = None
     may_have_run: bool = False
--- a/tests/test_two_placers.py
+++ b/tests/test_two_placers.py
@@ -29,6 +29,14 @@
         entries = sorted(
             deployment.running_entries(), key=lambda entry: entry.instance_id
         )
+        # Until they have heard each other, both place without a cut as well.
+        deployment.wait(
+            lambda: (
+                all(_asks(entry, entries[0]) for entry in entries)
+                and not _is_placer(entries[1])
+            ),
+            "only the first entry places",
+        )
         for entry in entries:
             route = f"{HOME}>{entry.instance_id}"
             deployment.proxy.send("set", route=route, mode="drop")
@@ -75,14 +83,48 @@
             )
 
 
-def _submit_running(oracle, entry):
+def test_retry_after_a_refusal_leaves_the_gang_of_the_other_placer_running():
+    """Guards against ending a claimed gang by a reservation with a newer token."""
+    with start_two_placers() as (oracle, (first, second)):
+        # The second placer does not know this gang and chooses its workers first.
+        _submit_running(oracle, first, run_seconds=3.0)
+        # Both placers queue the jobs before one of them claims them.
+        oracle.deployment.set_worker_fault(
+            HOME, "late", operation="reserve", delay_seconds=0.6
+        )
+        bodies = [
+            make_unique_job("raced", is_repeatable=flag, run_seconds=3.0)
+            for flag in (True, False)
+        ]
+        calls = [
+            oracle.start_call(oracle.submit, entry, body)
+            for body in bodies
+            for entry in (first, second)
+        ]
+        for call in calls:
+            call.result()
+        answers = oracle.wait_until_final([job_id_of(body) for body in bodies])
+        for job_id, answer in answers.items():
+            starts = wait_event(oracle, job_id, "task_start", count=2)
+            check.assertEqual((answer["outcome"], len(starts)), ("done", 2))
+
+
+def _submit_running(oracle, entry, **fields):
     """Submit a job that must not run twice; return its id once all tasks run."""
-    body = make_unique_job("adopted", is_repeatable=False, run_seconds=8.0)
+    fields = {"run_seconds": 8.0, **fields}
+    body = make_unique_job("adopted", is_repeatable=False, **fields)
     oracle.submit(entry, body)
     wait_event(oracle, job_id_of(body), "task_start", count=2)
     return job_id_of(body)
 
 
+def _asks(entry, placer):
+    status = entry.request("GET", "/v1/status")[1]
+    return [found["placer_id"] for found in status["data_centres"]] == [
+        placer.instance_id
+    ]
+
+
 def _is_placer(entry):
     lines = [line for line in entry.process.log_text().splitlines() if "placer" in line]
     return bool(lines) and f"acting as placer of {HOME}" in lines[-1]
