Keep extended leases from being replaced by usual renewals

Cause: when a stopping placer extended the leases of its gangs to handover_lease_seconds, its polls of the workers went on. A usual renewal that was still under way, or became due before the tasks of the placer ended, replaced the extended lease by one of lease_seconds, and the gang lapsed before a replacement had started.

Change: requests that renew leases at one worker are sent one after the other, and after an extension all renewals grant its duration.

--- a/kingcuptrack/coordination/watchers.py
+++ b/kingcuptrack/coordination/watchers.py
@@ -1,5 +1,6 @@
 """Tasks that renew the leases at each worker and read its state, one per worker."""
 
+import collections
 import time
 
 import anyio
@@ -32,6 +33,10 @@
         self._runs = {}
         self._wakeups = {}
         self._known_workers = {}
+        self._lease_seconds = context.settings.lease_seconds
+        # Held during a renewal request: workers apply requests of several connections
+        # in any order.
+        self._renewal_locks = collections.defaultdict(anyio.Lock)
 
     def add_run(self, run):
         """Renew the leases of an attempt from now on."""
@@ -95,19 +100,24 @@
         return worker
 
     async def extend_leases(self, lease_seconds):
-        """Renew the leases of all started gangs for ``lease_seconds``, once each."""
+        """Renew the leases of all started gangs for ``lease_seconds``, once each.
 
-        async def extend(address, keys):
-            await self._context.worker_client.renew(
-                address, keys, lease_seconds=lease_seconds
-            )
+        Renewals that become due later grant ``lease_seconds`` as well.
+        """
+        self._lease_seconds = lease_seconds
+
+        async def extend(worker_id, address, keys):
+            async with self._renewal_locks[worker_id]:
+                await self._context.worker_client.renew(
+                    address, keys, lease_seconds=lease_seconds
+                )
 
         async with anyio.create_task_group() as task_group:
             for worker_id, runs in self._runs.items():
                 keys = [run.key for run in runs.values() if run.is_started]
                 if keys:
                     address = next(iter(runs.values())).members[worker_id].address
-                    task_group.start_soon(extend, address, keys)
+                    task_group.start_soon(extend, worker_id, address, keys)
 
     async def _poll_worker(self, worker_id):
         failures_count = 0
@@ -192,11 +202,12 @@
         sent_seconds = time.monotonic()
         for run in runs.values():
             run.polled_seconds[worker_id] = sent_seconds
-        outcome = await self._context.worker_client.renew(
-            address,
-            [run.key for run in runs.values()],
-            lease_seconds=self._settings.lease_seconds,
-        )
+        async with self._renewal_locks[worker_id]:
+            outcome = await self._context.worker_client.renew(
+                address,
+                [run.key for run in runs.values()],
+                lease_seconds=self._lease_seconds,
+            )
         if not isinstance(outcome, Done):
             if not isinstance(outcome, Refused):
                 for run in runs.values():
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -5,7 +5,11 @@
 
 import anyio
 
+from kingcuptrack.coordination.gangs import GangRun, Member
 from kingcuptrack.coordination.handover import hand_over
+from kingcuptrack.coordination.watchers import WorkerWatch
+from kingcuptrack.outcomes import Done
+from kingcuptrack.transport.workers import GangKey
 
 from .deployment import start_deployment
 from .entry_requests import (
@@ -92,6 +96,59 @@
     check.assertEqual(extended_seconds, [30.0])
 
 
+def test_usual_renewal_does_not_replace_an_extended_lease():
+    """Guards against usual renewals applied after the extension of a handover."""
+    for renewal_seconds in (0.0, 0.2):
+        granted_seconds = anyio.run(_extend_during_renewals, renewal_seconds)
+        check.assertIn(LEASE_SECONDS, granted_seconds)
+        check.assertEqual(granted_seconds[-1], 30.0, renewal_seconds)
+
+
+async def _extend_during_renewals(renewal_seconds):
+    """Extend the lease of a gang while it is renewed; return the leases granted.
+
+    A usual renewal is applied ``renewal_seconds`` after it was sent.
+    """
+    granted_seconds = []
+
+    class WorkerClient:
+        async def renew(self, address, keys, *, lease_seconds):
+            if lease_seconds == LEASE_SECONDS:
+                await anyio.sleep(renewal_seconds)
+            granted_seconds.append(lease_seconds)
+            return Done(value=SimpleNamespace(gangs=(), usage={}))
+
+    listed = {"worker": SimpleNamespace(address="address", is_leaving=False)}
+    context = SimpleNamespace(
+        settings=SimpleNamespace(
+            lease_seconds=LEASE_SECONDS,
+            renewal_interval_seconds=0.1,
+            worker_poll_interval_seconds=0.1,
+        ),
+        membership=SimpleNamespace(listed_by_id=listed, listed_workers=lambda: listed),
+        worker_client=WorkerClient(),
+    )
+    run = GangRun(
+        gang=SimpleNamespace(job=SimpleNamespace(job_id="job")),
+        key=GangKey(job_id="job", token=1, holder="holder"),
+        members={
+            "worker": Member(worker_id="worker", address="address", task_indices=(0,))
+        },
+        is_started=True,
+    )
+    async with anyio.create_task_group() as task_group:
+        watch = WorkerWatch(context=context, scheduler=None, task_group=task_group)
+        watch.add_run(run)
+        watch.update_workers()
+        # The first renewal is under way or has been applied.
+        await anyio.sleep(0.05)
+        await watch.extend_leases(30.0)
+        # Another renewal is due before the tasks of the placer end.
+        await anyio.sleep(0.4)
+        task_group.cancel_scope.cancel()
+    return granted_seconds
+
+
 def wait_started(deployment, job_id):
     """Wait until the workers report the start of both tasks."""
     deployment.wait(
