Repeat a lost extension of leases at a handover

Cause: a stopping placer sent the extension of the leases of its gangs once to each worker. If that request or its answer was lost, the lease of that worker lapsed after lease_seconds, before a replacement had adopted the gang.

Change: the request is sent a second time unless the first one succeeded.

--- a/kingcuptrack/coordination/watchers.py
+++ b/kingcuptrack/coordination/watchers.py
@@ -21,6 +21,9 @@
 # Share of its poll interval after which a gang joins the renewal request of another.
 BATCH_FRACTION = 0.5
 
+# Tries of the request that extends the leases at a worker.
+EXTENSION_TRIES_COUNT = 2
+
 
 class WorkerWatch:
     """Renews leases at the listed workers of a data centre and tracks their state."""
@@ -100,7 +103,7 @@
         return worker
 
     async def extend_leases(self, lease_seconds):
-        """Renew the leases of all started gangs for ``lease_seconds``, once each.
+        """Renew the leases of all started gangs for ``lease_seconds``.
 
         Renewals that become due later grant ``lease_seconds`` as well.
         """
@@ -108,9 +111,12 @@
 
         async def extend(worker_id, address, keys):
             async with self._renewal_locks[worker_id]:
-                await self._context.worker_client.renew(
-                    address, keys, lease_seconds=lease_seconds
-                )
+                for _ in range(EXTENSION_TRIES_COUNT):
+                    outcome = await self._context.worker_client.renew(
+                        address, keys, lease_seconds=lease_seconds
+                    )
+                    if isinstance(outcome, Done):
+                        break
 
         async with anyio.create_task_group() as task_group:
             for worker_id, runs in self._runs.items():
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -8,7 +8,7 @@
 from kingcuptrack.coordination.gangs import GangRun, Member
 from kingcuptrack.coordination.handover import hand_over
 from kingcuptrack.coordination.watchers import WorkerWatch
-from kingcuptrack.outcomes import Done
+from kingcuptrack.outcomes import Done, Unknown
 from kingcuptrack.transport.workers import GangKey
 
 from .deployment import start_deployment
@@ -118,6 +118,36 @@
             granted_seconds.append(lease_seconds)
             return Done(value=SimpleNamespace(gangs=(), usage={}))
 
+    async with anyio.create_task_group() as task_group:
+        watch = _make_watch(WorkerClient(), task_group)
+        watch.update_workers()
+        # The first renewal is under way or has been applied.
+        await anyio.sleep(0.05)
+        await watch.extend_leases(30.0)
+        # Another renewal is due before the tasks of the placer end.
+        await anyio.sleep(0.4)
+        task_group.cancel_scope.cancel()
+    return granted_seconds
+
+
+def test_lost_extension_of_a_lease_is_repeated():
+    """Guards against a lapsed lease after one request of a handover was lost."""
+    granted_seconds = []
+    outcomes = [Unknown(message="no answer"), Done()]
+
+    class WorkerClient:
+        async def renew(self, address, keys, *, lease_seconds):
+            outcome = outcomes.pop(0)
+            if isinstance(outcome, Done):
+                granted_seconds.append(lease_seconds)
+            return outcome
+
+    anyio.run(_make_watch(WorkerClient(), None).extend_leases, 30.0)
+    check.assertEqual(granted_seconds, [30.0])
+
+
+def _make_watch(worker_client, task_group):
+    """Return the watch of a placer that runs one gang at one worker."""
     listed = {"worker": SimpleNamespace(address="address", is_leaving=False)}
     context = SimpleNamespace(
         settings=SimpleNamespace(
@@ -126,7 +156,7 @@
             worker_poll_interval_seconds=0.1,
         ),
         membership=SimpleNamespace(listed_by_id=listed, listed_workers=lambda: listed),
-        worker_client=WorkerClient(),
+        worker_client=worker_client,
     )
     run = GangRun(
         gang=SimpleNamespace(job=SimpleNamespace(job_id="job")),
@@ -136,17 +166,9 @@
         },
         is_started=True,
     )
-    async with anyio.create_task_group() as task_group:
-        watch = WorkerWatch(context=context, scheduler=None, task_group=task_group)
-        watch.add_run(run)
-        watch.update_workers()
-        # The first renewal is under way or has been applied.
-        await anyio.sleep(0.05)
-        await watch.extend_leases(30.0)
-        # Another renewal is due before the tasks of the placer end.
-        await anyio.sleep(0.4)
-        task_group.cancel_scope.cancel()
-    return granted_seconds
+    watch = WorkerWatch(context=context, scheduler=None, task_group=task_group)
+    watch.add_run(run)
+    return watch
 
 
 def wait_started(deployment, job_id):
