Simulate workers whose capacity changes while they run

Cause: the capacity of a worker may shrink and grow while it runs, and no test covered starts that count on a capacity that is gone.

Change: a simulated worker has a capacity that can be set at any time; what runs stays, and its registry entry shows the change up to 1.5 s later. Reads of the worker list can be delayed.

--- a/emulator/gang_workers.py
+++ b/emulator/gang_workers.py
@@ -64,13 +64,15 @@
     ``cut_workers`` holds the ids of workers that no caller can reach; ``cut_pairs``
     holds pairs (caller, worker id) without a connection. A ``late_share`` of the orders
     is not answered and is executed after LATE_ORDER_DELAY_SECONDS; a ``lost_share`` is
-    executed at once and not answered. Polls count as orders.
+    executed at once and not answered. Polls count as orders. Reads of the registry take
+    ``list_delay_seconds`` longer.
     """
 
     cut_workers: set = attrs.field(factory=set)
     cut_pairs: set = attrs.field(factory=set)
     late_share: float = 0.0
     lost_share: float = 0.0
+    list_delay_seconds: float = 0.0
 
 
 class SimulatedWorker:
@@ -78,11 +80,13 @@
 
     ``is_replaced`` means that it has crashed and another worker has taken its address.
     ``closed_life`` is the newest life whose connections closed when it crashed; after
-    other crashes, calls get no answer.
+    other crashes, calls get no answer. ``capacities`` lists (time, capacity) from that
+    time on; ``entry`` may show an earlier one.
     """
 
     def __init__(self, *, entry, fleet, clock_rate, life):
         self.entry = entry
+        self.capacities = [(anyio.current_time(), entry.capacity)]
         self.is_up = True
         # Multiplies the duration of runs that begin; infinite if they hang.
         self.slow_factor = 1.0
@@ -109,6 +113,11 @@
         """Return this worker's steady clock."""
         return (anyio.current_time() - self._life_began_at) * self._clock_rate
 
+    @property
+    def capacity(self):
+        """Capacity of the worker now."""
+        return self.capacities[-1][1]
+
     @property
     def used(self):
         """Resources of all runs, including those that are being stopped."""
@@ -427,12 +436,8 @@
                 await anyio.sleep(TICK_SECONDS)
                 if worker.closed_life == life and not is_cut(entry.worker_id):
                     return Unknown(message="connection closed without an answer")
-            if (
-                is_lost
-                or is_cut(entry.worker_id)
-                or not worker.is_up
-                or worker.life != life
-            ):
+            is_gone = not worker.is_up or worker.life != life
+            if is_lost or is_gone or is_cut(entry.worker_id):
                 await anyio.sleep(timeout_seconds)
                 return Unknown(message="no answer")
             return Done(value=worker.report(request.token))
@@ -449,10 +454,14 @@
 
         async def list_entries(*, timeout_seconds):
             await anyio.sleep(CALL_DELAY_SECONDS)
-            if not can_reach_store():
+            delay_seconds = self.faults.list_delay_seconds
+            if not can_reach_store() or delay_seconds >= timeout_seconds:
                 await anyio.sleep(timeout_seconds)
                 return Unknown(message="no answer")
-            return Done(value=self.list_entries())
+            entries = self.list_entries()
+            if delay_seconds:
+                await anyio.sleep(delay_seconds)
+            return Done(value=entries)
 
         return Workers(poll=poll, start=start, stop=stop, list=list_entries)
 
--- a/emulator/worker_crashes.py
+++ b/emulator/worker_crashes.py
@@ -41,7 +41,8 @@
         return
     worker.is_replaced = True
     new_id = f"{worker.entry.address}-{life + 1}"
-    fleet.add(attrs.evolve(worker.entry, worker_id=new_id), life=life + 1)
+    entry = attrs.evolve(worker.entry, worker_id=new_id, capacity=worker.capacity)
+    fleet.add(entry, life=life + 1)
 
 
 def find_crash_outcome(fleet, entry, is_cut):
@@ -68,6 +69,15 @@
     return None
 
 
+def unreplaced_worker(fleet, address):
+    """Return the worker at an address that no other worker has replaced."""
+    return next(
+        worker
+        for worker in fleet.workers.values()
+        if worker.entry.address == address and not worker.is_replaced
+    )
+
+
 def unreplaced_ids(fleet):
     """Return the sorted ids of the workers that no other worker has replaced."""
     return sorted(
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -407,6 +407,9 @@
     sim.note(f"{[member.name for member in members]} frozen for {seconds:.1f} s")
     for member in members:
         sim.cluster.freeze(member)
+    sim.checker.frozen_until = max(
+        sim.checker.frozen_until, anyio.current_time() + seconds
+    )
     await anyio.sleep(seconds)
     for member in members:
         sim.cluster.resume(member)
--- a/tests/worker_faults.py
+++ b/tests/worker_faults.py
@@ -1,14 +1,25 @@
 """Faults of seeded simulations: workers that crash, leave, slow down or miss orders."""
 
+from functools import partial
+
 import anyio
 
-from emulator.worker_crashes import CRASHED_SECONDS, crash_and_return, find_worker_at
+from emulator.gang_workers import make_worker_entry
+from emulator.worker_capacity import BEAT_SECONDS, set_capacity
+from emulator.worker_crashes import (
+    CRASHED_SECONDS,
+    crash_and_return,
+    find_worker_at,
+    unreplaced_worker,
+)
+from kingcuptrack.state.steps import Resources
 
 # Shortest and longest time for which a flapping worker stays up.
 FLAP_UP_SECONDS = (3.0, 8.0)
 # Longest time from a crash to the kill of the leader.
 KILL_DELAY_SECONDS = 1.0
 WATCH_INTERVAL_SECONDS = 0.02
+FULL_CAPACITY = make_worker_entry(0).capacity
 
 
 def choose_crashing_tasks(rng, steps):
@@ -105,6 +116,44 @@
             await replace_workers(sim, [worker.entry.worker_id], seconds=seconds)
 
 
+async def resize_workers(sim, worker_ids, *, seconds):
+    """Shrink the capacity of workers, then restore it; what runs stays."""
+    workers = [sim.cluster.fleet.workers[worker_id] for worker_id in worker_ids]
+    addresses = [worker.entry.address for worker in workers]
+    sim.note(f"{sorted(addresses)} shrink for {seconds:.1f} s")
+    _resize(sim, addresses, lambda: shrink(FULL_CAPACITY, sim.rng.uniform(0.1, 0.8)))
+    await anyio.sleep(seconds)
+    _resize(sim, addresses, lambda: FULL_CAPACITY)
+
+
+async def slow_down_worker_list(sim, *, seconds, delay_seconds):
+    """Delay reads of the worker list, which fail if they take too long."""
+    sim.note(f"worker list {delay_seconds} s slower for {seconds:.1f} s")
+    sim.cluster.fleet.faults.list_delay_seconds = delay_seconds
+    await anyio.sleep(seconds)
+    sim.cluster.fleet.faults.list_delay_seconds = 0.0
+
+
+def _resize(sim, addresses, choose_capacity):
+    for address in addresses:
+        change = partial(
+            set_capacity,
+            unreplaced_worker(sim.cluster.fleet, address),
+            choose_capacity(),
+            delay_seconds=sim.rng.uniform(0.0, BEAT_SECONDS),
+        )
+        sim.tasks.start_soon(change)
+
+
+def shrink(capacity, share):
+    """Return a share of a capacity."""
+    return Resources(
+        cpu_millicores=int(share * capacity.cpu_millicores),
+        memory_mb=int(share * capacity.memory_mb),
+        gpus_count=int(share * capacity.gpus_count),
+    )
+
+
 async def kill_leader_after_crashes(sim, *, seconds, kills_count):
     """Kill the leader shortly after a task has crashed a worker."""
     ends_at = anyio.current_time() + seconds
