Do not take the refusal of a poll for silence

Cause: a worker that answered a poll with a refusal counted as one that has stopped answering, which makes it unusable and can hide the cause of a crash.

Change: only calls without an answer, and without a connection, count as silence.

--- a/kingcuptrack/coordination/sessions.py
+++ b/kingcuptrack/coordination/sessions.py
@@ -9,7 +9,14 @@
 from ..outcomes import Done, Refused
 from ..state.shard_entities import RunPhase
 from .leases import LeaseTracker
-from .ports import FENCED, REPLACED, PollRequest, StartOrder
+from .ports import (
+    FENCED,
+    REJECTED,
+    REPLACED,
+    WORKER_BUSY,
+    PollRequest,
+    StartOrder,
+)
 from .supervision import supervise
 
 # Wait of a poll for the end of a run, and the longest wait while so many workers are
@@ -51,6 +58,15 @@
     return min(max(wait_seconds, POLL_WAIT_SECONDS), LONGEST_POLL_WAIT_SECONDS)
 
 
+def _is_answer(outcome):
+    """Return whether the worker that was called has answered, if only to refuse."""
+    return isinstance(outcome, Refused) and outcome.code in (
+        FENCED,
+        REJECTED,
+        WORKER_BUSY,
+    )
+
+
 @attrs.define(kw_only=True, eq=False)
 class Session:
     """Session with one worker.
@@ -387,7 +403,8 @@
     def _note_unreachable(self, outcome):
         if self._is_reachable:
             self._is_reachable = False
-            self.scheduler.note_worker_lost(self.worker_id)
+            if not _is_answer(outcome):
+                self.scheduler.note_worker_lost(self.worker_id)
             log_event(
                 "dependency",
                 outcome="lost",
