Do not recreate a dropped worker when its silence is noted

Cause: noting the silence of an id that had been dropped created an empty worker for it.

Change: only known workers are noted. test_a_worker_that_was_dropped_comes_back_when_it_is_lost failed before.

--- a/kingcuptrack/state/shard_state.py
+++ b/kingcuptrack/state/shard_state.py
@@ -320,8 +320,9 @@
         return lost
 
     def note_lost(self, worker_id, *, now_seconds):
-        """Record that a worker has stopped to answer."""
-        self._worker(worker_id).lost_at_seconds = now_seconds
+        """Record that a worker has stopped answering."""
+        if worker_id in self.workers:
+            self.workers[worker_id].lost_at_seconds = now_seconds
 
     def held_worker_ids(self):
         """Return the workers that get no other work because of a suspected task."""
--- a/tests/test_shard_state.py
+++ b/tests/test_shard_state.py
@@ -229,3 +229,11 @@
     add_job(shard_state, "running", make_step())
     start_run(shard_state, "running", "w0")
     check.assertEqual(shard_state.count_pending(), {"queue-1": 1})
+
+
+def test_a_worker_that_was_dropped_comes_back_when_it_is_lost():
+    """Guards against workers without an entry that are kept for ever."""
+    shard_state = make_shard_state({"r0": ["w0"]})
+    shard_state.set_worker_entries([], now_seconds=1.0)
+    shard_state.note_lost("w0", now_seconds=2.0)
+    check.assertEqual(shard_state.workers, {})
