Plan at once when a worker answers again

Cause: a worker becomes usable by its first answer after a silence, but that counted as no change, so that waiting work was placed up to 0.25 s later.

Change: it is a change. test_work_is_placed_on_a_worker_that_stopped_answering checks it and failed before.

--- a/kingcuptrack/state/shard_state.py
+++ b/kingcuptrack/state/shard_state.py
@@ -260,6 +260,7 @@
         if report.life < worker.life:
             return [], []
         is_new_life = report.life > worker.life
+        was_lost = worker.lost_at_seconds is not None
         if is_new_life and worker.life:
             self._record_crash(worker, now_seconds=report.received_at_seconds)
         for run in self._crashes.note_answer(worker):
@@ -280,7 +281,7 @@
             else:
                 self._apply_running(run, item, report)
         # The demand of unknown runs is not known, and so neither is the free capacity.
-        if is_new_life or worker.has_unknown_runs != bool(unknown_runs):
+        if is_new_life or was_lost or worker.has_unknown_runs != bool(unknown_runs):
             self.placement_changes_count += 1
         worker.has_unknown_runs = bool(unknown_runs)
         self._withdraw_absent_runs(worker, running, report, is_new_life=is_new_life)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -104,14 +104,16 @@
     check.assertEqual(_plan(shard_state, policy=policy).groups, [])
 
 
-def test_work_is_placed_on_a_worker_that_stopped_to_answer():
+def test_work_is_placed_on_a_worker_that_stopped_answering():
     """Guards against starts on a crashed worker, which drop out again and again."""
     shard_state = make_shard_state({"r0": ["w0", "w1"]})
     add_job(shard_state, "job", make_step(tasks=2))
     shard_state.note_lost("w0", now_seconds=0.0)
     plan = make_plan(shard_state, POLICY, now_seconds=0.1, wall_seconds=0.1)
     check.assertEqual(placed_workers(plan, "job"), ["w1", "w1"])
+    changes_count = shard_state.placement_changes_count
     shard_state.apply_report("w0", make_report(now_seconds=0.2))
+    check.assertGreater(shard_state.placement_changes_count, changes_count)
     plan = make_plan(shard_state, POLICY, now_seconds=0.3, wall_seconds=0.3)
     check.assertEqual(placed_workers(plan, "job"), ["w0", "w0"])
 
