--- a/kingcuptrack/coordination/scheduler.py
+++ b/kingcuptrack/coordination/scheduler.py
@@ -253,7 +253,7 @@
         self._request_commit_of_changes()
 
     def note_worker_lost(self, worker_id):
-        """Record that a worker has stopped to answer."""
+        """Record that a worker has stopped answering."""
         self.shard_state.note_lost(worker_id, now_seconds=self.clocks.steady())
 
     def end_fenced_term(self, worker_id):
--- a/kingcuptrack/state/crashes.py
+++ b/kingcuptrack/state/crashes.py
@@ -42,7 +42,7 @@
 class Crash:
     """Crash of a worker.
 
-    ``lost_at_seconds`` is when the worker stopped to answer. ``job_ids`` are the jobs
+    ``lost_at_seconds`` is when the worker stopped answering. ``job_ids`` are the jobs
     that may have started a task there shortly before. ``is_foreseen`` means that one of
     these tasks was suspected already.
     """
@@ -370,7 +370,7 @@
     def _find_unforeseen(self, crash):
         """Return the recent crashes of other workers where no task was a suspect.
 
-        Workers that have stopped to answer may have crashed.
+        Workers that have stopped answering may have crashed.
         """
         silent = [
             self._make_crash(other, _find_suspects(other.runs.values()), 0.0)
--- a/kingcuptrack/state/shard_entities.py
+++ b/kingcuptrack/state/shard_entities.py
@@ -69,7 +69,7 @@
     if the worker has not answered since this scheduler took over. ``failed_job_ids``
     are the jobs of its latest failures, cleared by a success.
     ``is_replaced`` means that another worker answers at its address.
-    ``lost_at_seconds`` is when it stopped to answer, None while it answers. While it is
+    ``lost_at_seconds`` is when it stopped answering, None while it answers. While it is
     watched, ``lapsed_suspects`` are the runs that may have crashed it, among those that
     ended by the lapse of their lease.
     ``leaves_at_seconds`` is the earliest time at which a draining worker leaves.
--- a/tests/invariants.py
+++ b/tests/invariants.py
@@ -70,7 +70,7 @@
       tasks, it must be one of these.
 
     ``own_crashes`` maps the reference of a task to the incarnations (worker id, life)
-    that it has crashed. ``innocent_failed_jobs`` are the jobs without a crashing task
+    that it has crashed. ``failed_sound_jobs`` are the jobs without a crashing task
     that were answered as failed because of crashes.
     """
 
@@ -83,7 +83,7 @@
         self.frozen_until = 0.0
         self.starts_count = 0
         self.own_crashes = {}
-        self.innocent_failed_jobs = []
+        self.failed_sound_jobs = []
         # Incarnations that crashed while a task ran there, by task reference.
         self._crashes = {}
         # Number of starts of a task after its LIMIT_CRASHES_COUNT-th own crash.
@@ -247,7 +247,7 @@
                 "of crashes",
             )
         elif not job.crashing_tasks:
-            self.innocent_failed_jobs.append(job)
+            self.failed_sound_jobs.append(job)
 
     def _check_closed_job(self, ref, job, now):
         for closed_at, event in (
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -106,7 +106,7 @@
     check.assertEqual(crashes_count(job), 0)
 
 
-def test_workers_that_crash_by_themselves_make_their_tasks_guilty():
+def test_jobs_are_given_up_for_workers_that_crash_by_themselves():
     """Guards against jobs given up because workers of the cluster keep crashing."""
     shard_state = make_crash_state()
     job = add_job(shard_state, "job", make_step())
@@ -122,7 +122,7 @@
     check.assertEqual(job.progress.state, JobState.FAILED)
 
 
-def test_a_power_cut_makes_the_tasks_of_its_workers_guilty():
+def test_jobs_are_given_up_for_a_power_cut():
     """Guards against jobs given up because many workers are lost at once."""
     shard_state = make_crash_state()
     jobs = [add_job(shard_state, f"job-{n}", make_step()) for n in range(4)]
@@ -407,7 +407,7 @@
     check.assertEqual(crashes_count(job), 1)
 
 
-def test_a_worker_that_crashes_by_itself_makes_its_task_guilty():
+def test_a_job_is_given_up_for_one_machine_that_keeps_crashing():
     """Guards against a job given up because one machine crashes again and again."""
     shard_state = make_crash_state()
     job = add_job(shard_state, "job", make_step())
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -34,8 +34,8 @@
 def _check_result(checker, seed):
     details = f"seed {seed}\n" + "\n".join(checker.log)
     check.assertEqual(checker.violations, [], details)
-    innocent_ids = [job.job_id for job in checker.innocent_failed_jobs]
-    check.assertEqual(innocent_ids, [], details)
+    sound_ids = [job.job_id for job in checker.failed_sound_jobs]
+    check.assertEqual(sound_ids, [], details)
     check.assertGreater(checker.starts_count, 0)
 
 
@@ -91,7 +91,7 @@
 
 
 def test_jobs_beside_crashing_tasks_are_not_given_up():
-    """Guards against innocent jobs that are failed, or starved, by their neighbours."""
+    """Guards against sound jobs that are failed, or starved, by their neighbours."""
     for seed in SEEDS:
         checker = run_simulation(
             seed, simulation.no_faults, jobs_count=60, crashing_share=0.15
