Start nothing on a capacity read too long ago

Cause: plans used the capacity of the last successful read of the worker list, however old, and capacity was not checked again between a claim and its order. While the list could not be read, or was read slowly, runs started on workers that had shrunk more than 4.5 s before.

Change: the age of the list counts from the sending of its read. From 2.0 s on nothing is planned, from 2.4 s on no order is sent. The pause after a postponed plan now also holds if nothing has changed: without this the commit loop spins while the list is too old.

--- a/kingcuptrack/coordination/plan_timing.py
+++ b/kingcuptrack/coordination/plan_timing.py
@@ -44,9 +44,9 @@
 
     def wait_seconds(self, now_seconds):
         """Return the time until the next plan, at most `REPLAN_INTERVAL_SECONDS`."""
-        plan_at_seconds = (
-            self._from_seconds if self.has_changes() else self._replan_at_seconds
-        )
+        plan_at_seconds = self._from_seconds
+        if not self.has_changes():
+            plan_at_seconds = max(plan_at_seconds, self._replan_at_seconds)
         return min(max(0.0, plan_at_seconds - now_seconds), REPLAN_INTERVAL_SECONDS)
 
     def begin(self):
--- a/kingcuptrack/coordination/scheduler.py
+++ b/kingcuptrack/coordination/scheduler.py
@@ -8,6 +8,7 @@
 import functools
 
 import anyio
+import attrs
 
 from ..logs import log_event
 from ..outcomes import Done
@@ -42,6 +43,12 @@
 # Interval between reads of the worker list: a third of the time within which a leaving
 # worker must stop getting new work.
 WORKER_LIST_INTERVAL_SECONDS = 0.7
+# Age of the worker list from which nothing is started, since the capacity of workers
+# may have shrunk. Starts may count on the earlier capacity for 4.5 s; the list shows
+# the change within 1.5 s, and an order takes at most `sessions.CALL_TIMEOUT_SECONDS`.
+# A plan needs a list that will not be too old for its orders.
+LIST_AGE_LIMIT_SECONDS = 2.4
+PLANNING_LIST_AGE_LIMIT_SECONDS = 2.0
 # Well below `lease_seconds`, since it delays the restart of tasks after a lapse.
 LAPSE_CHECK_INTERVAL_SECONDS = 0.2
 # Interval between searches for runs that hang, are slow or whose worker leaves.
@@ -163,6 +170,21 @@
             )
         )
 
+    def find_capacity_obstacle(self, run):
+        """Return why a claimed run may not fit on its worker; empty if it does."""
+        if self._list_age_seconds() >= LIST_AGE_LIMIT_SECONDS:
+            return "the worker list is too old"
+        worker = self.shard_state.workers[run.worker_id]
+        amounts = zip(
+            attrs.astuple(run.resources),
+            attrs.astuple(worker.used),
+            attrs.astuple(worker.entry.capacity),
+            strict=True,
+        )
+        if any(needed and used > limit for needed, used, limit in amounts):
+            return "the worker's capacity has shrunk"
+        return ""
+
     def apply_report(self, session, report):
         """Apply a worker's report; returns its runs that the shard state lacks."""
         ends, unknown_runs = self.shard_state.apply_report(session.worker_id, report)
@@ -231,9 +253,10 @@
 
     async def _follow_workers(self):
         while True:
+            sent_at_seconds = self.clocks.steady()
             outcome = await self.workers.list(timeout_seconds=LIST_TIMEOUT_SECONDS)
             if isinstance(outcome, Done):
-                self._listed_at_seconds = self.clocks.steady()
+                self._listed_at_seconds = sent_at_seconds
                 self.shard_state.set_worker_entries(
                     outcome.value, now_seconds=self.clocks.steady()
                 )
@@ -351,6 +374,9 @@
                 started_at_seconds + RUN_CHECK_INTERVAL_SECONDS
             )
             self._stop_slow_or_departing_runs(started_at_seconds)
+        if self._list_age_seconds() >= PLANNING_LIST_AGE_LIMIT_SECONDS:
+            self._plan_timing.postpone(started_at_seconds)
+            return []
         self._plan_timing.begin()
         plan = make_plan(
             self.shard_state,
@@ -362,7 +388,7 @@
         self._decision_log.log_waits(
             plan.waits,
             workers_count=len(self.shard_state.workers),
-            list_age_seconds=started_at_seconds - self._listed_at_seconds,
+            list_age_seconds=self._list_age_seconds(),
         )
         for run, reason in plan.stops:
             self._stop(run, reason)
@@ -405,6 +431,9 @@
             )
         return claims
 
+    def _list_age_seconds(self):
+        return self.clocks.steady() - self._listed_at_seconds
+
     def _stop_slow_or_departing_runs(self, now_seconds):
         """Stop runs that hang or are too slow, or whose worker leaves too early."""
         stragglers = find_stragglers(
