Start nothing on a worker of which any resource is overused

Cause: after the capacity of a worker has shrunk below its runs, the count of tasks that fit looked only at the resources that a task needs. A task without accelerators started on a worker whose accelerators are overused.

Change: nothing fits on a worker of which any resource is overused. The same holds for the check before an order. Reclaiming counts the capacity that victims free as before, so that an overused worker can still be reclaimed.

The reference of tests/test_victims.py had the earlier rule and disagreed in test_reclaim_agrees_with_a_search_of_all_workers and test_fitting_tasks_are_counted_by_each_resource (element 1: 0 instead of 1). It now has the new rule; the comparison is as exact as before.

--- a/kingcuptrack/coordination/scheduler.py
+++ b/kingcuptrack/coordination/scheduler.py
@@ -8,7 +8,6 @@
 import functools
 
 import anyio
-import attrs
 
 from ..logs import log_event
 from ..outcomes import Done
@@ -170,18 +169,12 @@
             )
         )
 
-    def find_capacity_obstacle(self, run):
-        """Return why a claimed run may not fit on its worker; empty if it does."""
+    def find_capacity_obstacle(self, worker_id):
+        """Return why the runs of a worker may not fit; empty if they do."""
         if self._list_age_seconds() >= LIST_AGE_LIMIT_SECONDS:
             return "the worker list is too old"
-        worker = self.shard_state.workers[run.worker_id]
-        amounts = zip(
-            attrs.astuple(run.resources),
-            attrs.astuple(worker.used),
-            attrs.astuple(worker.entry.capacity),
-            strict=True,
-        )
-        if any(needed and used > limit for needed, used, limit in amounts):
+        worker = self.shard_state.workers[worker_id]
+        if not worker.used.fits_in(worker.entry.capacity):
             return "the worker's capacity has shrunk"
         return ""
 
--- a/kingcuptrack/state/packing.py
+++ b/kingcuptrack/state/packing.py
@@ -107,7 +107,12 @@
 
 
 def count_tasks(free, demand, limit_count):
-    """Return how many tasks of a demand fit into free resources, at most the limit."""
+    """Return how many tasks of a demand fit into free resources, at most the limit.
+
+    Nothing fits if any resource is overused, as after a worker's capacity has shrunk.
+    """
+    if free.gpus_count < 0 or free.memory_mb < 0 or free.cpu_millicores < 0:
+        return 0
     count = limit_count
     if demand.gpus_count:
         count = min(count, free.gpus_count // demand.gpus_count)
--- a/tests/reference_planning.py
+++ b/tests/reference_planning.py
@@ -28,6 +28,8 @@
     """Return how many tasks fit on a worker, at most the limit."""
     if not is_eligible(slot, requirements):
         return 0
+    if any(free < 0 for free in attrs.astuple(slot.free)):
+        return 0
     counts = [limit_count]
     if requirements.tasks_per_worker_limit:
         taken_count = slot.step_counts.get(requirements.step_key, 0)
@@ -36,7 +38,7 @@
         attrs.astuple(slot.free), attrs.astuple(requirements.demand), strict=True
     ):
         if needed > 0:
-            counts.append(max(free, 0) // needed)
+            counts.append(free // needed)
     return max(0, min(counts))
 
 
