Test that a leader frozen at a lost answer causes no second run

A leader frozen in between extended leases beyond the time that its successor waits for, if it then reached workers that the successor did not, and the successor started the tasks of these workers again.

Evidence: the new simulation loses the answer of one commit, freezes the leader at the answer to the repetition, and lets it wake up cut from the store.

Change: tests only. The jobs with long runs are shared with the test of a leader that is cut from the store.

--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -11,7 +11,7 @@
 import attrs
 
 from emulator.cluster import POLICY_KEY
-from kingcuptrack.outcomes import Unknown
+from kingcuptrack.outcomes import Done, Unknown
 from kingcuptrack.state.progress import FINAL_STATES, JobState
 from kingcuptrack.state.steps import Resources, Step
 
@@ -32,6 +32,9 @@
 # of a run begun before the cut.
 CUT_SECONDS = 25.0
 LONG_RUN_SECONDS = 20.0
+# Longer than a takeover; shorter than what is left of a lease after an unanswered
+# commit.
+FREEZE_SECONDS = 4.5
 
 
 def _check_result(checker):
@@ -39,6 +42,15 @@
     check.assertGreater(checker.starts_count, 0)
 
 
+def _make_long_job(rng):
+    step = Step(
+        task_count=rng.randint(1, 4),
+        resources=Resources(cpu_millicores=2800, memory_mb=4100, gpus_count=1),
+        estimate_seconds=LONG_RUN_SECONDS,
+    )
+    return "batch", (step,), LONG_RUN_SECONDS, 0
+
+
 def test_every_job_finishes_without_faults():
     """Guards against jobs that are accepted and never finish."""
     checker = run_simulation(1, simulation.no_faults)
@@ -189,15 +201,50 @@
             ):
                 cuts.start_soon(partial(cut, sim, *ends, seconds=CUT_SECONDS))
 
-    def make_long_job(rng):
-        step = Step(
-            task_count=rng.randint(1, 4),
-            resources=Resources(cpu_millicores=2800, memory_mb=4100, gpus_count=1),
-            estimate_seconds=LONG_RUN_SECONDS,
-        )
-        return "batch", (step,), LONG_RUN_SECONDS, 0
+    with mock.patch.object(simulation, "make_job", _make_long_job):
+        _check_result(run_simulation(14, faults, jobs_count=12, load_seconds=8.0))
+
+
+def test_leader_frozen_while_a_late_settled_commit_is_answered():
+    """Guards against leases extended by a leader that dates its renewal too late.
+
+    The answer of a commit is lost, and the leader is frozen while the answer to its
+    repetition is on the way; then it reaches only workers that its successor does not.
+    """
+
+    async def faults(sim):
+        await anyio.sleep(5)
+        leader = sim.cluster.leader()
+        others = [member for member in sim.cluster.members if member is not leader]
+        worker_ids = list(sim.cluster.fleet.workers)
+        store = sim.cluster.store
+        apply = store.apply
+        settled = anyio.Event()
+
+        def freeze_after_conflict(transaction):
+            outcome = apply(transaction)
+            is_lost = isinstance(outcome, Done)
+            store.faults.lost_share = 1.0 if is_lost else 0.0
+            if not is_lost:
+                store.apply = apply
+                sim.cluster.freeze(leader)
+                settled.set()
+            return outcome
+
+        store.apply = freeze_after_conflict
+        await settled.wait()
+        async with anyio.create_task_group() as cuts:
+            for cut, *ends in (
+                (simulation.cut_from_store, [leader]),
+                (simulation.cut_paths, others, worker_ids[::2]),
+                (simulation.cut_paths, [leader], worker_ids[1::2]),
+            ):
+                cuts.start_soon(partial(cut, sim, *ends, seconds=CUT_SECONDS))
+            await anyio.sleep(FREEZE_SECONDS)
+            check.assertIsNot(sim.cluster.leader(), None)
+            sim.cluster.resume(leader)
 
-    with mock.patch.object(simulation, "make_job", make_long_job):
+    with mock.patch.object(simulation, "make_job", _make_long_job):
         _check_result(run_simulation(14, faults, jobs_count=12, load_seconds=8.0))
 
 
