--- a/kingcuptrack/coordination/sessions.py
+++ b/kingcuptrack/coordination/sessions.py
@@ -9,7 +9,7 @@
 from ..outcomes import Done, Refused
 from ..state.shard_entities import RunPhase
 from .leases import LeaseTracker
-from .ports import FENCED, PollRequest, StartOrder
+from .ports import FENCED, REPLACED, PollRequest, StartOrder
 from .supervision import supervise
 
 # Wait of a poll for the end of a run, and the longest wait while so many workers are
@@ -27,6 +27,8 @@
 IDLE_POLL_INTERVAL_SECONDS = 2.0
 # Pause after a call without an answer.
 RETRY_SECONDS = 0.1
+# Interval between polls of a worker that does not answer and has no runs.
+SILENT_POLL_INTERVAL_SECONDS = 0.5
 # Interval at which a stop order is repeated until the worker reports the end.
 STOP_RETRY_SECONDS = 0.5
 # Age from which a queued start order is no longer sent, since it would ignore cancels
@@ -122,7 +124,7 @@
                 else 0
             )
             if not is_answered:
-                await anyio.sleep(RETRY_SECONDS)
+                await self._wait_after_failure()
             elif self.received_end > self.acknowledged_end:
                 # The worker would answer at once, with the same ends, until the commit
                 # of these ends allows to acknowledge them.
@@ -130,6 +132,14 @@
             elif not self._runs():
                 await self._wait_for_wake(IDLE_POLL_INTERVAL_SECONDS)
 
+    async def _wait_after_failure(self):
+        if self._runs():
+            await anyio.sleep(RETRY_SECONDS)
+        elif self._is_replaced():
+            await self._wait_for_wake(IDLE_POLL_INTERVAL_SECONDS)
+        else:
+            await self._wait_for_wake(SILENT_POLL_INTERVAL_SECONDS)
+
     async def _wait_for_wake(self, limit_seconds):
         self._poll_event = anyio.Event()
         with anyio.move_on_after(limit_seconds):
@@ -165,6 +175,7 @@
             if is_fenced and token == self.token:
                 self.scheduler.end_fenced_term(self.worker_id)
             self._note_unreachable(outcome)
+            self._check_replaced(outcome)
             return False
         self._note_reachable()
         self._apply_report(outcome.value)
@@ -269,6 +280,7 @@
         elif isinstance(outcome, Refused):
             self._abandon_start(run, outcome.code)
             self.scheduler.note_refusal(run, outcome)
+            self._check_replaced(outcome)
         else:
             run.phase = RunPhase.UNSETTLED
             self._log_start(run, "unknown", outcome.message)
@@ -364,9 +376,18 @@
     def _has_unsettled(self):
         return any(run.phase == RunPhase.UNSETTLED for run in self._runs().values())
 
+    def _is_replaced(self):
+        worker = self._worker()
+        return worker is not None and worker.is_replaced
+
+    def _check_replaced(self, outcome):
+        if isinstance(outcome, Refused) and outcome.code == REPLACED:
+            self.scheduler.end_replaced_worker(self.worker_id)
+
     def _note_unreachable(self, outcome):
         if self._is_reachable:
             self._is_reachable = False
+            self.scheduler.note_worker_lost(self.worker_id)
             log_event(
                 "dependency",
                 outcome="lost",
--- a/kingcuptrack/state/progress.py
+++ b/kingcuptrack/state/progress.py
@@ -40,6 +40,9 @@
 
     ``last_run`` is the number of the newest claimed run, 0 if there is none.
     ``worker_id`` is the worker of this run while the run may exist, else empty.
+    ``crashed_worker_ids`` are the workers that crashed soon after they had started the
+    task, and ``doubtful_crashes_count`` is the number of those that crashed and may
+    have started it, since it last ran for some time.
     """
 
     last_run: int = 0
@@ -47,6 +50,18 @@
     is_done: bool = False
     worker_id: str = ""
     checkpoint: str = ""
+    crashed_worker_ids: list[str] = attrs.field(factory=list)
+    doubtful_crashes_count: int = 0
+
+    @property
+    def crashes_count(self):
+        """Number of crashes that the task may have caused."""
+        return len(self.crashed_worker_ids) + self.doubtful_crashes_count
+
+    def clear_crashes(self):
+        """Forget the crashes, since the task has run for some time."""
+        self.crashed_worker_ids = []
+        self.doubtful_crashes_count = 0
 
 
 @attrs.define(kw_only=True)
@@ -70,12 +85,14 @@
     """Progress of a job.
 
     ``occurrences`` maps the number of an occurrence to the progress of its steps;
-    an occurrence that is done moves to ``done_occurrences``.
+    an occurrence that is done moves to ``done_occurrences``. ``failure_reason`` is why
+    the job was given up, empty unless its tasks crash their workers.
     """
 
     state: JobState = JobState.QUEUED
     occurrences: dict[int, list[StepProgress]] = attrs.field(factory=dict)
     done_occurrences: set[int] = attrs.field(factory=set)
+    failure_reason: str = ""
 
     @property
     def is_final(self):
@@ -147,7 +164,7 @@
     before = progress.state
     if is_cancelled:
         progress.state = JobState.CANCELLED
-    elif _has_exhausted_attempts(progress, submission):
+    elif progress.failure_reason or _has_exhausted_attempts(progress, submission):
         progress.state = JobState.FAILED
     else:
         _drop_done_occurrences(progress)
