Accept a restarted worker whose life number is lower

Callers would see jobs that never end: after a worker had restarted under its id with a lower number of its life, all its reports were ignored until another instance led.

Cause: lives were compared by size, although the number is a time of day, which can be set back. The polls went on and extended the leases, so that nothing lapsed either.

The two new tests of a session cover the order of answers; they call the changed method and can't run on the earlier code.

Change: a session accepts another life if its poll was sent after the newest applied answer was received, and passes on a number that it counts up. The comparisons in the lease bound and the shard state hold for that number.

--- a/kingcuptrack/coordination/sessions.py
+++ b/kingcuptrack/coordination/sessions.py
@@ -71,6 +71,8 @@
     _order_event: anyio.Event = attrs.field(factory=anyio.Event, init=False)
     _poll_event: anyio.Event = attrs.field(factory=anyio.Event, init=False)
     _worker_clock_seconds: float = attrs.field(default=float("-inf"), init=False)
+    _answered_at_seconds: float = attrs.field(default=float("-inf"), init=False)
+    _reported_life: int | None = attrs.field(default=None, init=False)
     _life: int = attrs.field(default=0, init=False)
     _stop_sent_at_seconds: dict = attrs.field(factory=dict, init=False)
     _unknown_runs: dict = attrs.field(factory=dict, init=False)
@@ -97,7 +99,7 @@
 
     @property
     def life(self):
-        """Incarnation of the worker that answered last; 0 before the first answer."""
+        """Number of the incarnations seen so far; 0 before the first answer."""
         return self._life
 
     def acknowledge(self, end_number, life):
@@ -178,31 +180,35 @@
             self._check_replaced(outcome)
             return False
         self._note_reachable()
-        self._apply_report(outcome.value)
+        self._apply_report(outcome.value, now_seconds)
         return True
 
-    def _apply_report(self, report):
-        if report.life < self._life:
-            return
-        if (
-            report.life == self._life
-            and report.clock_seconds < self._worker_clock_seconds
-        ):
-            # A newer answer has already been applied.
-            return
-        if report.life > self._life:
+    def _apply_report(self, report, sent_at_seconds):
+        """Apply the answer to a poll that was sent at a time of the steady clock."""
+        if report.life != self._reported_life:
+            # Lives are not ordered by their numbers: the time of day of the worker can
+            # be set back. Only a poll sent after the newest answer was received cannot
+            # have been answered by an earlier life.
+            if sent_at_seconds < self._answered_at_seconds:
+                return
             if self._life:
                 log_event(
                     "worker",
                     outcome="new_life",
                     worker_id=self.worker_id,
                     life=report.life,
-                    previous=self._life,
+                    previous=self._reported_life,
                 )
-            self._life = report.life
+            self._reported_life = report.life
+            self._life += 1
             self.acknowledged_end = self.received_end = 0
             self._stop_sent_at_seconds.clear()
+        elif report.clock_seconds < self._worker_clock_seconds:
+            # A newer answer has already been applied.
+            return
         self._worker_clock_seconds = report.clock_seconds
+        self._answered_at_seconds = report.received_at_seconds
+        report = attrs.evolve(report, life=self._life)
         self.leases.note_report(report)
         unknown_runs = self.scheduler.apply_report(self, report)
         self._unknown_runs = {(item.ref, item.run): item for item in unknown_runs}
--- a/kingcuptrack/state/reports.py
+++ b/kingcuptrack/state/reports.py
@@ -56,7 +56,8 @@
 class WorkerReport:
     """Answer of a worker to a poll.
 
-    ``life`` is the number of the worker's incarnation, which grows with each restart.
+    ``life`` identifies the worker's incarnation. The session replaces it by a number
+    that grows with each restart that it sees.
     ``clock_seconds`` is the worker's monotonic clock when it answered. ``token`` is
     the fencing token of the call and ``received_at_seconds`` the time of the answer on
     the caller's monotonic clock. ``is_complete`` means that no ends were cut off by
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -3,12 +3,14 @@
 from unittest import mock
 
 import anyio
+from loguru import logger
 
 from emulator.platform_service import NullObserver
+from kingcuptrack.coordination.leases import LeaseTracker
 from kingcuptrack.coordination.sessions import Session
 
 from .cluster_plays import play_cluster, submit_job
-from .shard_states import make_step
+from .shard_states import make_report, make_step
 from .support import check, function_tests
 
 load_tests = function_tests(__name__)
@@ -99,3 +101,58 @@
     check.assertEqual(len(recorder.ended_at_seconds), TASKS_COUNT)
     last_end_seconds = max(recorder.ended_at_seconds)
     check.assertLess(max(recorder.acknowledged_at_seconds), last_end_seconds + 0.5)
+
+
+class _Scheduler:
+    """Scheduler of one session; records the reports that the session applies."""
+
+    def __init__(self):
+        self.reports = []
+
+    def apply_report(self, session, report):
+        self.reports.append(report)
+        return []
+
+
+def _apply_answers(*answers):
+    """Apply answers to polls, as (sent at, received at, life, clock).
+
+    Returns
+    -------
+    list of WorkerReport
+        The reports that were not discarded.
+    """
+    scheduler = _Scheduler()
+    leases = LeaseTracker(longest_lease_seconds=6.0, lapse_at_seconds=0.0)
+    session = Session(worker_id="w0", scheduler=scheduler, token=1, leases=leases)
+    logger.disable("kingcuptrack")
+    try:
+        for sent_at, received_at, life, clock in answers:
+            report = make_report(
+                now_seconds=received_at, life=life, clock_seconds=clock
+            )
+            session._apply_report(report, sent_at)
+    finally:
+        logger.enable("kingcuptrack")
+    return scheduler.reports
+
+
+def test_a_lower_life_number_is_accepted_after_a_restart():
+    """Guards against a restarted worker whose reports are all ignored."""
+    reports = _apply_answers((1.0, 1.1, 900, 50.0), (2.0, 2.1, 400, 0.2))
+    check.assertEqual([report.clock_seconds for report in reports], [50.0, 0.2])
+    # Runs of the earlier life are known to have ended.
+    check.assertGreater(reports[1].life, reports[0].life)
+
+
+def test_an_overtaken_answer_of_an_earlier_life_is_discarded():
+    """Guards against the end of new runs by an answer from before a restart."""
+    for earlier_life in (400, 1300):
+        reports = _apply_answers(
+            (1.0, 1.1, earlier_life, 50.0),
+            (2.1, 2.2, 900, 0.2),
+            (2.0, 2.3, earlier_life, 50.9),
+            (2.4, 2.5, 900, 0.5),
+        )
+        clocks_seconds = [report.clock_seconds for report in reports]
+        check.assertEqual(clocks_seconds, [50.0, 0.2, 0.5])
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -287,6 +287,18 @@
     _check_result(run_simulation(10, faults))
 
 
+def test_workers_restart_with_a_lower_life_number():
+    """Guards against jobs that never finish because the time of day was set back."""
+
+    async def faults(sim):
+        for first in (0, 4, 8, 0):
+            await anyio.sleep(4)
+            ids = [f"w{number:02d}" for number in range(first, first + 3)]
+            await simulation.crash_workers(sim, ids, seconds=0.5, life_change=-7)
+
+    _check_result(run_simulation(10, faults))
+
+
 def test_scheduler_without_configuration():
     """Guards against a new leader that plans before it has read a configuration."""
 
--- a/tests/worker_faults.py
+++ b/tests/worker_faults.py
@@ -21,8 +21,8 @@
     return frozenset({(number, rng.randrange(steps[number].task_count))})
 
 
-async def crash_workers(sim, worker_ids, *, seconds):
-    """Crash workers and restart them under the same id with a higher life number."""
+async def crash_workers(sim, worker_ids, *, seconds, life_change=1):
+    """Crash workers and restart them under the same id with another life number."""
     sim.note(f"{sorted(worker_ids)} crash for {seconds:.1f} s")
     for worker_id in worker_ids:
         sim.cluster.fleet.workers[worker_id].crash()
@@ -30,7 +30,7 @@
     for worker_id in worker_ids:
         worker = sim.cluster.fleet.workers[worker_id]
         if not worker.is_up and not worker.is_replaced:
-            worker.begin_life(worker.life + 1)
+            worker.begin_life(worker.life + life_change)
 
 
 async def slow_down_workers(sim, worker_ids, *, seconds, factor):
