Raise the fencing token when a worker has restarted under its id

Nothing was seen by callers; found in the inquiry into a task that ran twice.

Cause: a new life has seen no fencing token. A poll of before the restart that arrives late was accepted there: it extends the lease beyond the bound that the scheduler keeps, and deletes ends of the new life, whose numbers start anew, before they were received.

Evidence: the new test of a session failed before.

Change: the session raises its token when it sees a new life, so that the next order fences the earlier ones. Late orders that arrive before it are still accepted.

--- a/kingcuptrack/coordination/sessions.py
+++ b/kingcuptrack/coordination/sessions.py
@@ -199,6 +199,7 @@
                     life=report.life,
                     previous=self._reported_life,
                 )
+                self.token += 1
             self._reported_life = report.life
             self._life += 1
             self.acknowledged_end = self.received_end = 0
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -119,8 +119,9 @@
 
     Returns
     -------
-    list of WorkerReport
+    reports : list of WorkerReport
         The reports that were not discarded.
+    session : Session
     """
     scheduler = _Scheduler()
     leases = LeaseTracker(longest_lease_seconds=6.0, lapse_at_seconds=0.0)
@@ -134,12 +135,12 @@
             session._apply_report(report, sent_at)
     finally:
         logger.enable("kingcuptrack")
-    return scheduler.reports
+    return scheduler.reports, session
 
 
 def test_a_lower_life_number_is_accepted_after_a_restart():
     """Guards against a restarted worker whose reports are all ignored."""
-    reports = _apply_answers((1.0, 1.1, 900, 50.0), (2.0, 2.1, 400, 0.2))
+    reports, _ = _apply_answers((1.0, 1.1, 900, 50.0), (2.0, 2.1, 400, 0.2))
     check.assertEqual([report.clock_seconds for report in reports], [50.0, 0.2])
     # Runs of the earlier life are known to have ended.
     check.assertGreater(reports[1].life, reports[0].life)
@@ -148,7 +149,7 @@
 def test_an_overtaken_answer_of_an_earlier_life_is_discarded():
     """Guards against the end of new runs by an answer from before a restart."""
     for earlier_life in (400, 1300):
-        reports = _apply_answers(
+        reports, _ = _apply_answers(
             (1.0, 1.1, earlier_life, 50.0),
             (2.1, 2.2, 900, 0.2),
             (2.0, 2.3, earlier_life, 50.9),
@@ -156,3 +157,14 @@
         )
         clocks_seconds = [report.clock_seconds for report in reports]
         check.assertEqual(clocks_seconds, [50.0, 0.2, 0.5])
+
+
+def test_a_new_life_gets_a_higher_token():
+    """Guards against late polls of before a restart that extend leases after it.
+
+    They could also delete ends of the new life, whose numbers start anew.
+    """
+    _, session = _apply_answers((1.0, 1.1, 900, 50.0))
+    first_token = session.token
+    _, session = _apply_answers((1.0, 1.1, 900, 50.0), (2.0, 2.1, 950, 0.2))
+    check.assertGreater(session.token, first_token)
