--- a/kingcuptrack/state/shard_state.py
+++ b/kingcuptrack/state/shard_state.py
@@ -303,8 +303,9 @@
         are refused.
         """
         worker = self._worker(worker_id)
-        worker.is_replaced = True
-        self._record_crash(worker, now_seconds=now_seconds)
+        if not worker.is_replaced:
+            worker.is_replaced = True
+            self._record_crash(worker, now_seconds=now_seconds)
         lost = [
             run
             for run in worker.runs.values()
@@ -472,6 +473,7 @@
         step = job.submission.steps[run.ref.step]
         if how == "failed":
             job.failed_worker_ids.add(run.worker_id)
+        if how in ("done", "failed"):
             self._clear_suspicion(run)
         if how == "done" and run.is_start_observed and not run.is_remote:
             self.run_times.learn(
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -262,3 +262,87 @@
             for job in jobs:
                 job.suspect_refs.add(make_ref(job.submission.job_id))
     check.assertEqual({job.progress.state for job in jobs}, {JobState.FAILED})
+
+
+def test_each_refusal_of_a_replaced_worker_counts_as_a_crash():
+    """Guards against a job given up for one crash, while its order has no answer."""
+    shard_state = make_crash_state()
+    job = add_job(shard_state, "job", make_step())
+    run = shard_state.claim(make_ref("job"), "w0", number=1, now_seconds=0.0)
+    run.phase = RunPhase.ORDERED
+    shard_state.note_lost("w0", now_seconds=0.1)
+    for number in range(6):
+        shard_state.end_replaced_worker("w0", now_seconds=0.1 + 0.1 * number)
+    check.assertEqual(crashes_count(job), 1)
+    check.assertEqual(job.progress.state, JobState.QUEUED)
+    check.assertEqual(len(shard_state.take_crash_findings()), 1)
+
+
+def test_later_refusals_of_a_replaced_worker_look_like_unrelated_crashes():
+    """Guards against a first crash that makes the cause of the second one unclear."""
+    shard_state = make_crash_state()
+    job = add_job(shard_state, "bad", make_step())
+    start_and_crash(shard_state, ["bad"], "w0", number=1, now_seconds=0.0)
+    shard_state.end_replaced_worker("w0", now_seconds=APART_SECONDS)
+    start_and_crash(shard_state, ["bad"], "w1", number=2, now_seconds=APART_SECONDS)
+    check.assertEqual(job.progress.state, JobState.FAILED)
+
+
+def test_a_crash_found_late_suspects_a_task_that_has_survived_elsewhere():
+    """Guards against a suspect that is never cleared, so that its step stalls."""
+    shard_state = make_crash_state()
+    job = add_job(shard_state, "job", make_step(tasks=2, is_long_running=True))
+    start_run(shard_state, "job", "w0")
+    shard_state.note_lost("w0", now_seconds=0.1)
+    shard_state.end_lapsed_runs("w0", now_seconds=7.0)
+    start_run(shard_state, "job", "w1", number=2, now_seconds=7.0)
+    running = [(make_ref("job"), 2, 1)]
+    for now_seconds in (7.1 + SURVIVAL_SECONDS, 60.0):
+        report = make_report(now_seconds=now_seconds, running=running)
+        shard_state.apply_report("w1", report)
+        shard_state.end_replaced_worker("w0", now_seconds=now_seconds)
+    check.assertEqual(job.suspect_refs, set())
+    check.assertEqual(crashes_count(job), 0)
+    check.assertEqual(shard_state.held_worker_ids(), set())
+
+
+def test_a_task_hides_behind_new_neighbours():
+    """Guards against crashes that never count because each has a second suspect."""
+    shard_state = make_crash_state()
+    job = add_job(shard_state, "bad", make_step())
+    for number in (1, 2, 3):
+        other_id = f"other-{number}"
+        add_job(shard_state, other_id, make_step())
+        start_run(
+            shard_state,
+            other_id,
+            f"w{number}",
+            number=1,
+            now_seconds=APART_SECONDS * number,
+        )
+        start_and_crash(
+            shard_state,
+            ["bad"],
+            f"w{number}",
+            number=number,
+            now_seconds=APART_SECONDS * number,
+        )
+    check.assertEqual(job.progress.state, JobState.FAILED)
+    states = [shard_state.jobs[f"other-{n}"].progress.state for n in (1, 2, 3)]
+    check.assertNotIn(JobState.FAILED, states)
+
+
+def test_tasks_crash_together_again_after_two_power_cuts():
+    """Guards against tasks that are started beside each other in every round."""
+    shard_state = make_crash_state()
+    job = add_job(shard_state, "bad", make_step())
+    for number, worker_ids in ((1, WORKER_IDS[:4]), (2, WORKER_IDS[4:])):
+        now_seconds = 20.0 * number
+        start_run(
+            shard_state, "bad", worker_ids[0], number=number, now_seconds=now_seconds
+        )
+        for worker_id in worker_ids:
+            shard_state.note_lost(worker_id, now_seconds=now_seconds)
+        shard_state.end_replaced_worker(worker_ids[0], now_seconds=now_seconds + 1.0)
+        is_suspect = make_ref("bad") in job.suspect_refs
+        check.assertEqual(is_suspect, number == 2)
