Discard an answer that a restarted worker gave before it accepted a start

Nothing was seen by callers; found by reading in the inquiry into a task that ran twice.

Cause: the first report of a new life ends the runs that it lacks. If a start was sent after the poll, and its answer overtook that report, the run was withdrawn while it went on, and the task could be started a second time.

Change: only a poll sent after the newest accepted start shows a new life; the next poll decides otherwise.

--- a/kingcuptrack/coordination/sessions.py
+++ b/kingcuptrack/coordination/sessions.py
@@ -282,6 +282,8 @@
         seconds = self._now_seconds() - now_seconds
         self.scheduler.record_latency("start_order", seconds)
         if isinstance(outcome, Done):
+            # Answers to earlier polls cannot show whether a new life has this run.
+            self._answered_at_seconds = self._now_seconds()
             self._log_start(run, "accepted", "")
             self.scheduler.confirm_start(run, outcome.value)
         elif isinstance(outcome, Refused):
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -6,11 +6,14 @@
 from loguru import logger
 
 from emulator.platform_service import NullObserver
+from emulator.virtual_clock import run_virtual
 from kingcuptrack.coordination.leases import LeaseTracker
 from kingcuptrack.coordination.sessions import Session
+from kingcuptrack.outcomes import Done
+from kingcuptrack.state.shard_entities import Run
 
 from .cluster_plays import play_cluster, submit_job
-from .shard_states import make_report, make_step
+from .shard_states import make_ref, make_report, make_step
 from .support import check, function_tests
 
 load_tests = function_tests(__name__)
@@ -108,6 +111,14 @@
 
     def __init__(self):
         self.reports = []
+        self.clocks = mock.Mock(steady=anyio.current_time)
+        self.own_delay = mock.Mock(extend=lambda seconds: seconds)
+        self.shard_state = mock.Mock(workers={})
+        self.workers = mock.Mock(start=self._accept)
+        self.record_latency = self.confirm_start = mock.Mock()
+
+    async def _accept(self, *, entry, order, timeout_seconds):
+        return Done(value=0.05)
 
     def apply_report(self, session, report):
         self.reports.append(report)
@@ -168,3 +179,36 @@
     first_token = session.token
     _, session = _apply_answers((1.0, 1.1, 900, 50.0), (2.0, 2.1, 950, 0.2))
     check.assertGreater(session.token, first_token)
+
+
+def test_an_answer_from_before_a_start_does_not_show_the_runs_of_a_new_life():
+    """Guards against the withdrawal of a run that a restarted worker has accepted.
+
+    The answer to a poll is overtaken by the answer to a start that was sent later.
+    """
+
+    async def play():
+        reports, session = _apply_answers((-2.0, -1.9, 1, 50.0))
+        step = make_step()
+        run = Run(
+            ref=make_ref("job"),
+            number=1,
+            worker_id="w0",
+            resources=step.resources,
+            priority=0,
+            estimate_seconds=1.0,
+        )
+        await anyio.sleep(0.1)
+        await session._send_start(run, "")
+        polled = make_report(now_seconds=0.2, life=2, clock_seconds=0.1)
+        session._apply_report(polled, 0.05)
+        check.assertEqual(len(reports), 1)
+        polled = make_report(now_seconds=0.4, life=2, clock_seconds=0.3)
+        session._apply_report(polled, 0.3)
+        check.assertEqual(len(reports), 2)
+
+    logger.disable("kingcuptrack")
+    try:
+        run_virtual(play)
+    finally:
+        logger.enable("kingcuptrack")
