--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -3,12 +3,17 @@
 from unittest import mock
 
 import anyio
+from loguru import logger
 
 from emulator.platform_service import NullObserver
+from emulator.virtual_clock import run_virtual
+from kingcuptrack.coordination.leases import LeaseTracker
 from kingcuptrack.coordination.sessions import Session
+from kingcuptrack.outcomes import Done
+from kingcuptrack.state.shard_entities import Run
 
 from .cluster_plays import play_cluster, submit_job
-from .shard_states import make_step
+from .shard_states import make_ref, make_report, make_step
 from .support import check, function_tests
 
 load_tests = function_tests(__name__)
@@ -99,3 +104,111 @@
     check.assertEqual(len(recorder.ended_at_seconds), TASKS_COUNT)
     last_end_seconds = max(recorder.ended_at_seconds)
     check.assertLess(max(recorder.acknowledged_at_seconds), last_end_seconds + 0.5)
+
+
+class _Scheduler:
+    """Scheduler of one session; records the reports that the session applies."""
+
+    def __init__(self):
+        self.reports = []
+        self.clocks = mock.Mock(steady=anyio.current_time)
+        self.own_delay = mock.Mock(extend=lambda seconds: seconds)
+        self.shard_state = mock.Mock(workers={})
+        self.workers = mock.Mock(start=self._accept)
+        self.record_latency = self.confirm_start = mock.Mock()
+
+    async def _accept(self, *, entry, order, timeout_seconds):
+        return Done(value=0.05)
+
+    def apply_report(self, session, report):
+        self.reports.append(report)
+        return []
+
+
+def _apply_answers(*answers):
+    """Apply answers to polls, as (sent at, received at, life, clock).
+
+    Returns
+    -------
+    reports : list of WorkerReport
+        The reports that were not discarded.
+    session : Session
+    """
+    scheduler = _Scheduler()
+    leases = LeaseTracker(longest_lease_seconds=6.0, lapse_at_seconds=0.0)
+    session = Session(worker_id="w0", scheduler=scheduler, token=1, leases=leases)
+    logger.disable("kingcuptrack")
+    try:
+        for sent_at, received_at, life, clock in answers:
+            report = make_report(
+                now_seconds=received_at, life=life, clock_seconds=clock
+            )
+            session._apply_report(report, sent_at)
+    finally:
+        logger.enable("kingcuptrack")
+    return scheduler.reports, session
+
+
+def test_a_lower_life_number_is_accepted_after_a_restart():
+    """Guards against a restarted worker whose reports are all ignored."""
+    reports, _ = _apply_answers((1.0, 1.1, 900, 50.0), (2.0, 2.1, 400, 0.2))
+    check.assertEqual([report.clock_seconds for report in reports], [50.0, 0.2])
+    # Runs of the earlier life are known to have ended.
+    check.assertGreater(reports[1].life, reports[0].life)
+
+
+def test_an_overtaken_answer_of_an_earlier_life_is_discarded():
+    """Guards against the end of new runs by an answer from before a restart."""
+    for earlier_life in (400, 1300):
+        reports, _ = _apply_answers(
+            (1.0, 1.1, earlier_life, 50.0),
+            (2.1, 2.2, 900, 0.2),
+            (2.0, 2.3, earlier_life, 50.9),
+            (2.4, 2.5, 900, 0.5),
+        )
+        clocks_seconds = [report.clock_seconds for report in reports]
+        check.assertEqual(clocks_seconds, [50.0, 0.2, 0.5])
+
+
+def test_a_new_life_gets_a_higher_token():
+    """Guards against late polls of before a restart that extend leases after it.
+
+    They could also delete ends of the new life, whose numbers start anew.
+    """
+    _, session = _apply_answers((1.0, 1.1, 900, 50.0))
+    first_token = session.token
+    _, session = _apply_answers((1.0, 1.1, 900, 50.0), (2.0, 2.1, 950, 0.2))
+    check.assertGreater(session.token, first_token)
+
+
+def test_an_answer_from_before_a_start_does_not_show_the_runs_of_a_new_life():
+    """Guards against the withdrawal of a run that a restarted worker has accepted.
+
+    The answer to a poll is overtaken by the answer to a start that was sent later.
+    """
+
+    async def play():
+        reports, session = _apply_answers((-2.0, -1.9, 1, 50.0))
+        step = make_step()
+        run = Run(
+            ref=make_ref("job"),
+            number=1,
+            worker_id="w0",
+            resources=step.resources,
+            priority=0,
+            estimate_seconds=1.0,
+        )
+        await anyio.sleep(0.1)
+        await session._send_start(run, "")
+        polled = make_report(now_seconds=0.2, life=2, clock_seconds=0.1)
+        session._apply_report(polled, 0.05)
+        check.assertEqual(len(reports), 1)
+        polled = make_report(now_seconds=0.4, life=2, clock_seconds=0.3)
+        session._apply_report(polled, 0.3)
+        check.assertEqual(len(reports), 2)
+
+    logger.disable("kingcuptrack")
+    try:
+        run_virtual(play)
+    finally:
+        logger.enable("kingcuptrack")
