Let the sessions of dropped workers wait

Cause: the session of a worker id that had been dropped woke ten times a second for the rest of the term, and each crash leaves such an id.

Change: both loops of a session wait until the worker is listed again.

--- a/kingcuptrack/coordination/scheduler.py
+++ b/kingcuptrack/coordination/scheduler.py
@@ -306,6 +306,7 @@
 
     def _open_session(self, worker_id):
         if worker_id in self._sessions:
+            self._sessions[worker_id].note_known()
             return
         # Leases that an earlier scheduler granted while its last commit was recent
         # enough; the 5% on the lease exceed `leases.CLOCK_DRIFT_FACTOR`.
--- a/kingcuptrack/coordination/sessions.py
+++ b/kingcuptrack/coordination/sessions.py
@@ -86,6 +86,7 @@
     _starts: deque = attrs.field(factory=deque, init=False)
     _order_event: anyio.Event = attrs.field(factory=anyio.Event, init=False)
     _poll_event: anyio.Event = attrs.field(factory=anyio.Event, init=False)
+    _known_event: anyio.Event | None = attrs.field(default=None, init=False)
     _worker_clock_seconds: float = attrs.field(default=float("-inf"), init=False)
     _answered_at_seconds: float = attrs.field(default=float("-inf"), init=False)
     _reported_life: int | None = attrs.field(default=None, init=False)
@@ -129,8 +130,22 @@
         self._order_event.set()
         self._poll_event.set()
 
+    def note_known(self):
+        """Continue if the worker was dropped and has been listed again."""
+        if self._known_event is not None:
+            self._known_event.set()
+            self._known_event = None
+
+    async def _wait_until_known(self):
+        """Wait while the shard state has dropped the worker, which has no runs then."""
+        while self._worker() is None:
+            if self._known_event is None:
+                self._known_event = anyio.Event()
+            await self._known_event.wait()
+
     async def _poll_loop(self):
         while True:
+            await self._wait_until_known()
             if self._entry() is None:
                 # Loaded runs can refer to workers that have not been listed yet.
                 await anyio.sleep(RETRY_SECONDS)
@@ -234,6 +249,7 @@
 
     async def _order_loop(self):
         while True:
+            await self._wait_until_known()
             self._order_event = anyio.Event()
             await self._send_starts()
             await self._settle_orders()
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -23,6 +23,34 @@
 WORKERS_COUNT = 4
 
 
+def test_sessions_of_dropped_workers_keep_running():
+    """Guards against processor time that grows with each worker that has gone."""
+    lookups_count = 0
+    look_up = Session._worker
+
+    def count_lookup(session):
+        nonlocal lookups_count
+        lookups_count += session.worker_id == "w00"
+        return look_up(session)
+
+    async def run(cluster):
+        nonlocal lookups_count
+        cluster.fleet.workers["w00"].crash()
+        await anyio.sleep(3.0)
+        with mock.patch.object(Session, "_worker", count_lookup):
+            await anyio.sleep(10.0)
+            gone_count, lookups_count = lookups_count, 0
+            worker = cluster.fleet.workers["w00"]
+            worker.begin_life(worker.life + 1)
+            await anyio.sleep(3.0)
+        scheduler = cluster.leader().instance.candidate.scheduler
+        return gone_count, scheduler.shard_state.workers["w00"].life
+
+    gone_count, life = play_cluster(run, workers_count=WORKERS_COUNT)
+    check.assertEqual(gone_count, 0)
+    check.assertGreater(life, 0)
+
+
 class _AcknowledgementRecorder(NullObserver):
     """Records when workers list ends, and when these are acknowledged."""
 
