Acknowledge no ends with the first poll after a silence

Cause: ends are numbered anew in each life of a worker, and a poll acknowledges them by number. The first poll after a restart under the same id could delete ends of the new life that nobody has seen, and a task that is done would run again.

Change: polls acknowledge nothing until the worker has answered again; it lists the ends once more. test_the_first_poll_after_a_silence_deletes_ends_of_a_new_life failed before. A restart between two answered polls stays possible.

--- a/kingcuptrack/coordination/sessions.py
+++ b/kingcuptrack/coordination/sessions.py
@@ -192,7 +192,8 @@
         may_extend = self._is_reachable and self.scheduler.may_extend_leases()
         request = PollRequest(
             token=token,
-            acknowledged_end=self.acknowledged_end,
+            # After a silence, the worker may have restarted and number its ends anew.
+            acknowledged_end=self.acknowledged_end if self._is_reachable else 0,
             deadline_seconds=self.leases.grant(now_seconds) if may_extend else None,
             wait_seconds=wait_seconds,
         )
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -9,7 +9,7 @@
 from emulator.virtual_clock import run_virtual
 from kingcuptrack.coordination.leases import LeaseTracker
 from kingcuptrack.coordination.sessions import Session
-from kingcuptrack.outcomes import Done
+from kingcuptrack.outcomes import Done, Unknown
 from kingcuptrack.state.shard_entities import Run
 
 from .cluster_plays import play_cluster, submit_job
@@ -209,6 +209,31 @@
     check.assertGreater(session.token, first_token)
 
 
+def test_the_first_poll_after_a_silence_deletes_ends_of_a_new_life():
+    """Guards against a task that is done and runs again after a restart."""
+
+    async def play():
+        _, session = _apply_answers((-2.0, -1.9, 1, 50.0))
+        requests = []
+        outcomes = [Unknown(), Done(value=make_report(now_seconds=0.2, life=2))]
+
+        async def poll(*, entry, request, timeout_seconds):
+            requests.append(request)
+            return outcomes[len(requests) - 1]
+
+        scheduler = session.scheduler
+        scheduler.workers.poll = poll
+        scheduler.shard_state.workers["w0"] = mock.Mock(runs={})
+        scheduler.may_extend_leases = lambda: True
+        scheduler.note_worker_lost = lambda worker_id: None
+        session.acknowledge(7, session.life)
+        for _ in range(2):
+            await session.poll(wait_seconds=0.0)
+        return [request.acknowledged_end for request in requests]
+
+    check.assertEqual(run_virtual(play), [7, 0])
+
+
 def test_an_answer_from_before_a_start_does_not_show_the_runs_of_a_new_life():
     """Guards against the withdrawal of a run that a restarted worker has accepted.
 
