--- a/bench/scheduler_cost.py
+++ b/bench/scheduler_cost.py
@@ -54,7 +54,7 @@
     """
     from emulator.experiment import play
     from emulator.simulated_load import LoadShape
-    from kingcuptrack.state.planner import DEFAULT_RULES
+    from kingcuptrack.state.plan_rules import DEFAULT_RULES
 
     calls, seconds = Counter(), Counter()
     for module_name, attribute, name in MEASURED_FUNCTIONS:
--- a/emulator/experiment.py
+++ b/emulator/experiment.py
@@ -20,7 +20,7 @@
 from kingcuptrack.ini import parse_ini
 from kingcuptrack.outcomes import Done
 from kingcuptrack.state.ordering import GUARANTEED_PRIORITY
-from kingcuptrack.state.planner import PlanRules
+from kingcuptrack.state.plan_rules import PlanRules
 from kingcuptrack.state.progress import FINAL_STATES, JobState
 from kingcuptrack.tools.tables import format_table
 
--- a/kingcuptrack/coordination/instance.py
+++ b/kingcuptrack/coordination/instance.py
@@ -5,7 +5,7 @@
 
 from ..logs import log_event
 from ..outcomes import Done
-from ..state.planner import DEFAULT_RULES
+from ..state.plan_rules import DEFAULT_RULES
 from ..state.shard_state import DEFAULT_REMOTE_FACTOR
 from .admissions import Admissions
 from .leadership import LeadershipCandidate
--- a/kingcuptrack/coordination/scheduler.py
+++ b/kingcuptrack/coordination/scheduler.py
@@ -12,7 +12,8 @@
 from ..logs import log_event
 from ..outcomes import Done
 from ..state.departures import find_runs_past_departure
-from ..state.planner import DEFAULT_RULES, make_plan
+from ..state.plan_rules import DEFAULT_RULES
+from ..state.planner import make_plan
 from ..state.scheduling_units import PlanningPolicy, is_usable
 from ..state.shard_entities import RunPhase
 from ..state.shard_state import ShardState
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -5,7 +5,7 @@
 
 from emulator.experiment import JobResult, load_experiment, play, summarise
 from emulator.simulated_load import LoadShape
-from kingcuptrack.state.planner import DEFAULT_RULES
+from kingcuptrack.state.plan_rules import DEFAULT_RULES
 from kingcuptrack.state.progress import JobState
 
 from .support import ROOT, check, function_tests
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -12,7 +12,7 @@
 from kingcuptrack.coordination.rows import progress_key
 from kingcuptrack.coordination.supervision import describe_error, supervise
 from kingcuptrack.state.ordering import order_key
-from kingcuptrack.state.planner import PlanRules
+from kingcuptrack.state.plan_rules import PlanRules
 from kingcuptrack.state.progress import JobState
 from kingcuptrack.state.shard_state import ShardState
 
