Log when plans wait for a newer worker list

The age limit of the list postpones plans without a trace, so that an engineer on call cannot tell why jobs wait. One line when it begins, one when it ends. test_plans_wait_for_the_worker_list_without_a_trace failed before (no line).

--- a/kingcuptrack/coordination/decision_log.py
+++ b/kingcuptrack/coordination/decision_log.py
@@ -12,6 +12,21 @@
     # Reasons already logged for waiting work, by (job id, occurrence, step).
     _logged_wait_reasons: dict = attrs.field(factory=dict, init=False)
 
+    _is_list_old: bool = attrs.field(default=False, init=False)
+
+    def log_worker_list(self, is_old, age_seconds):
+        """Log that plans wait for a newer worker list, or do not any more."""
+        if is_old == self._is_list_old:
+            return
+        self._is_list_old = is_old
+        log_event(
+            "dependency",
+            outcome="lost" if is_old else "regained",
+            dependency="worker list",
+            reason="plans wait for a newer list" if is_old else "",
+            age_seconds=round(age_seconds, 3),
+        )
+
     def log_waits(self, waits, *, workers_count, list_age_seconds):
         """Log why work is waiting; ``waits`` holds (unit, reason)."""
         reasons = {}
--- a/kingcuptrack/coordination/scheduler.py
+++ b/kingcuptrack/coordination/scheduler.py
@@ -416,7 +416,10 @@
                 started_at_seconds + RUN_CHECK_INTERVAL_SECONDS
             )
             self._stop_slow_or_departing_runs(started_at_seconds)
-        if self._list_age_seconds() >= PLANNING_LIST_AGE_LIMIT_SECONDS:
+        list_age_seconds = self._list_age_seconds()
+        is_list_old = list_age_seconds >= PLANNING_LIST_AGE_LIMIT_SECONDS
+        self._decision_log.log_worker_list(is_list_old, list_age_seconds)
+        if is_list_old:
             self._plan_timing.postpone(started_at_seconds)
             return []
         self._plan_timing.begin()
--- a/tests/test_changed_capacity.py
+++ b/tests/test_changed_capacity.py
@@ -4,17 +4,20 @@
 """
 
 from functools import partial
+from unittest import mock
 
 import anyio
 import attrs
 
 from emulator.platform_service import NullObserver
 from emulator.worker_capacity import set_capacity
+from kingcuptrack.coordination import decision_log
 from kingcuptrack.state.progress import EndKind, JobState
 from kingcuptrack.state.steps import Resources, Step
 
 from . import simulation, worker_faults
 from .cluster_plays import play_cluster, submit_job
+from .shard_states import make_step
 from .simulation import LOAD_SECONDS, run_simulation
 from .support import check, function_tests
 from .worker_faults import FULL_CAPACITY, shrink
@@ -230,3 +233,29 @@
 async def _resize(cluster, capacity):
     for worker in cluster.fleet.workers.values():
         await set_capacity(worker, capacity, delay_seconds=0.0)
+
+
+def test_plans_wait_for_the_worker_list_without_a_trace():
+    """Guards against jobs that wait while no log line tells why."""
+    lines = []
+
+    async def run(cluster):
+        faults = cluster.fleet.faults
+        with mock.patch.object(
+            decision_log, "log_event", lambda event, **fields: lines.append(fields)
+        ):
+            faults.list_delay_seconds = 10.0
+            await submit_job(
+                cluster.members[0], cluster, "job", make_step(), run_seconds=20.0
+            )
+            await anyio.sleep(6.0)
+            faults.list_delay_seconds = 0.0
+            await anyio.sleep(4.0)
+
+    play_cluster(run)
+    outcomes = [
+        fields["outcome"]
+        for fields in lines
+        if fields.get("dependency") == "worker list"
+    ]
+    check.assertEqual(outcomes, ["lost", "regained"])
