Count a suspension in the age of a queued start

Cause: the age was measured on the steady clock, which stands still while the instance is suspended. After a suspension, a start could be sent for a claim older than the limit, ignoring cancels and take-outs made meanwhile.

Change: the age is measured on the boottime clock. Shown by test_sessions (failed before).

--- a/kingcuptrack/coordination/sessions.py
+++ b/kingcuptrack/coordination/sessions.py
@@ -106,7 +106,7 @@
 
     def queue_start(self, run, spec):
         """Queue a start order for a committed run."""
-        self._starts.append((run, spec, self._now_seconds()))
+        self._starts.append((run, spec, self.scheduler.clocks.boottime()))
         self.wake()
 
     @property
@@ -285,7 +285,8 @@
             return run.stop_reason
         if self._has_unsettled():
             return "an earlier order to this worker had no answer"
-        if self._now_seconds() - queued_at_seconds > ORDER_AGE_LIMIT_SECONDS:
+        age_seconds = self.scheduler.clocks.boottime() - queued_at_seconds
+        if age_seconds > ORDER_AGE_LIMIT_SECONDS:
             return "the claim has become too old"
         if not self.scheduler.may_start(self.worker_id):
             return "the worker is closed, leaving, or leadership is in doubt"
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -8,7 +8,8 @@
 from emulator.platform_service import NullObserver
 from emulator.virtual_clock import run_virtual
 from kingcuptrack.coordination.leases import LeaseTracker
-from kingcuptrack.coordination.sessions import Session
+from kingcuptrack.coordination.ports import Clocks
+from kingcuptrack.coordination.sessions import ORDER_AGE_LIMIT_SECONDS, Session
 from kingcuptrack.outcomes import Done, Unknown
 from kingcuptrack.state.shard_entities import Run
 
@@ -153,6 +154,17 @@
         return []
 
 
+def _make_run():
+    return Run(
+        ref=make_ref("job"),
+        number=1,
+        worker_id="w0",
+        resources=make_step().resources,
+        priority=0,
+        estimate_seconds=1.0,
+    )
+
+
 def _apply_answers(*answers):
     """Apply answers to polls, as (sent at, received at, life, clock).
 
@@ -234,6 +246,28 @@
     check.assertEqual(run_virtual(play), [7, 0])
 
 
+def test_the_age_of_a_queued_start_includes_a_suspension():
+    """Guards against starts of claims from before the instance was suspended."""
+    now_seconds, suspended_seconds = 10.0, 0.0
+    scheduler = _Scheduler()
+    scheduler.clocks = Clocks(
+        steady=lambda: now_seconds - suspended_seconds,
+        boottime=lambda: now_seconds,
+        wall=lambda: now_seconds,
+    )
+    scheduler.may_start = lambda worker_id: True
+    scheduler.find_capacity_obstacle = lambda worker_id: ""
+    leases = LeaseTracker(longest_lease_seconds=6.0, lapse_at_seconds=0.0)
+    session = Session(worker_id="w0", scheduler=scheduler, token=1, leases=leases)
+    run = _make_run()
+    session.queue_start(run, "")
+    _, _, queued_at_seconds = session._starts[0]
+    check.assertEqual(session._find_start_obstacle(run, queued_at_seconds), "")
+    suspended_seconds = ORDER_AGE_LIMIT_SECONDS + 0.5
+    now_seconds += suspended_seconds
+    check.assertNotEqual(session._find_start_obstacle(run, queued_at_seconds), "")
+
+
 def test_an_answer_from_before_a_start_does_not_show_the_runs_of_a_new_life():
     """Guards against the withdrawal of a run that a restarted worker has accepted.
 
@@ -242,17 +276,8 @@
 
     async def play():
         reports, session = _apply_answers((-2.0, -1.9, 1, 50.0))
-        step = make_step()
-        run = Run(
-            ref=make_ref("job"),
-            number=1,
-            worker_id="w0",
-            resources=step.resources,
-            priority=0,
-            estimate_seconds=1.0,
-        )
         await anyio.sleep(0.1)
-        await session._send_start(run, "")
+        await session._send_start(_make_run(), "")
         polled = make_report(now_seconds=0.2, life=2, clock_seconds=0.1)
         session._apply_report(polled, 0.05)
         check.assertEqual(len(reports), 1)
