Count a suspension in the age of the worker list

Cause: as for queued starts, the age was measured on the steady clock, which stands still while the instance is suspended, so that a capacity read long ago counted as new.

Change: it is measured on the boottime clock. test_age_of_the_worker_list_leaves_out_a_suspension failed before.

--- a/kingcuptrack/coordination/scheduler.py
+++ b/kingcuptrack/coordination/scheduler.py
@@ -293,7 +293,7 @@
 
     async def _follow_workers(self):
         while True:
-            sent_at_seconds = self.clocks.steady()
+            sent_at_seconds = self.clocks.boottime()
             outcome = await self.workers.list(timeout_seconds=LIST_TIMEOUT_SECONDS)
             if isinstance(outcome, Done):
                 self._listed_at_seconds = sent_at_seconds
@@ -477,7 +477,7 @@
         return claims
 
     def _list_age_seconds(self):
-        return self.clocks.steady() - self._listed_at_seconds
+        return self.clocks.boottime() - self._listed_at_seconds
 
     def _stop_slow_or_departing_runs(self, now_seconds):
         """Stop runs that hang or are too slow, or whose worker leaves too early."""
--- a/tests/test_changed_capacity.py
+++ b/tests/test_changed_capacity.py
@@ -12,6 +12,7 @@
 from emulator.platform_service import NullObserver
 from emulator.worker_capacity import set_capacity
 from kingcuptrack.coordination import decision_log
+from kingcuptrack.coordination.scheduler import LIST_AGE_LIMIT_SECONDS
 from kingcuptrack.state.progress import EndKind, JobState
 from kingcuptrack.state.steps import Resources, Step
 
@@ -259,3 +260,17 @@
         if fields.get("dependency") == "worker list"
     ]
     check.assertEqual(outcomes, ["lost", "regained"])
+
+
+def test_age_of_the_worker_list_leaves_out_a_suspension():
+    """Guards against starts on a capacity read before the instance was suspended."""
+
+    async def run(cluster):
+        scheduler = cluster.leader().instance.candidate.scheduler
+        scheduler.clocks = attrs.evolve(
+            scheduler.clocks,
+            boottime=lambda: anyio.current_time() + LIST_AGE_LIMIT_SECONDS,
+        )
+        return scheduler.find_capacity_obstacle("w00")
+
+    check.assertEqual(play_cluster(run), "the worker list is too old")
