--- a/tests/test_crash_search.py
+++ b/tests/test_crash_search.py
@@ -373,3 +373,13 @@
 def test_a_job_is_given_up_for_crashes_before_its_start():
     """Guards against a sound job whose orders follow those of a task that crashes."""
     _check_seeds((77, 906), longest_down_seconds=5.0, has_takeovers=False)
+
+
+def test_a_job_is_given_up_after_one_crash_and_unanswered_starts():
+    """Guards against a sound job whose orders had no answer four times."""
+    _check_seeds((648, 1438), longest_down_seconds=5.0, has_takeovers=False)
+
+
+def test_takeovers_forget_crashes():
+    """Guards against starts beyond the limit when leaders and workers end together."""
+    _check_seeds((0, 8, 33), longest_down_seconds=5.0, has_takeovers=True)
