Settle a start that was answered after its worker restarted

Cause: a start that a worker accepted before it restarted under its id could be confirmed after the first report of the next incarnation. The run was then dated on the clock of the earlier one, so that no report showed it to be absent until the new clock had passed that time; its task was not run again (LOST).

Change: such a start counts as unanswered, so that a poll with the raised token settles it. Shown by test_sessions (failed before).

--- a/kingcuptrack/coordination/sessions.py
+++ b/kingcuptrack/coordination/sessions.py
@@ -300,6 +300,7 @@
             self._abandon_start(run, "the worker has not answered yet")
             return False
         run.token = self.token
+        life = self._life
         order = StartOrder(
             ref=run.ref,
             run=run.number,
@@ -315,7 +316,11 @@
         )
         seconds = self._now_seconds() - now_seconds
         self.scheduler.record_latency("start_order", seconds)
-        if isinstance(outcome, Done):
+        if isinstance(outcome, Done) and life != self._life:
+            # Either life may have accepted it; a poll with a higher token shows which.
+            run.phase = RunPhase.UNSETTLED
+            self._log_start(run, "unknown", "the worker has restarted meanwhile")
+        elif isinstance(outcome, Done):
             # Answers to earlier polls cannot show whether a new life has this run.
             self._answered_at_seconds = self._now_seconds()
             self._log_start(run, "accepted", "")
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -11,7 +11,7 @@
 from kingcuptrack.coordination.ports import Clocks
 from kingcuptrack.coordination.sessions import ORDER_AGE_LIMIT_SECONDS, Session
 from kingcuptrack.outcomes import Done, Unknown
-from kingcuptrack.state.shard_entities import Run
+from kingcuptrack.state.shard_entities import Run, RunPhase
 
 from .cluster_plays import play_cluster, submit_job
 from .shard_states import make_ref, make_report, make_step
@@ -144,7 +144,8 @@
         self.own_delay = mock.Mock(extend=lambda seconds: seconds)
         self.shard_state = mock.Mock(workers={})
         self.workers = mock.Mock(start=self._accept)
-        self.record_latency = self.confirm_start = mock.Mock()
+        self.record_latency = mock.Mock()
+        self.confirm_start = mock.Mock()
 
     async def _accept(self, *, entry, order, timeout_seconds):
         return Done(value=0.05)
@@ -268,6 +269,36 @@
     check.assertNotEqual(session._find_start_obstacle(run, queued_at_seconds), "")
 
 
+def test_a_start_accepted_by_an_earlier_life_is_not_confirmed():
+    """Guards against a run that ended with an earlier life and is never started again.
+
+    The answer to the start is overtaken by the first report of the next life.
+    """
+
+    async def play():
+        _, session = _apply_answers((-2.0, -1.9, 1, 50.0))
+        accept = session.scheduler.workers.start
+
+        async def accept_before_a_restart(**order):
+            outcome = await accept(**order)
+            report = make_report(now_seconds=0.2, life=2, clock_seconds=0.1)
+            session._apply_report(report, 0.1)
+            return outcome
+
+        session.scheduler.workers.start = accept_before_a_restart
+        run = _make_run()
+        await session._send_start(run, "")
+        session.scheduler.confirm_start.assert_not_called()
+        check.assertEqual(run.phase, RunPhase.UNSETTLED)
+        check.assertLess(run.token, session.token)
+
+    logger.disable("kingcuptrack")
+    try:
+        run_virtual(play)
+    finally:
+        logger.enable("kingcuptrack")
+
+
 def test_an_answer_from_before_a_start_does_not_show_the_runs_of_a_new_life():
     """Guards against the withdrawal of a run that a restarted worker has accepted.
 
