Apply the row of a job once when the job table is read again

Cause: after the history of the change feed was lost, the job table was read again and all its rows were applied without their progress. A job that was removed while the read was under way, or whose progress was unreadable when it was loaded, was added as new, and its finished tasks were run again (TWICE).

--- a/kingcuptrack/coordination/job_feed.py
+++ b/kingcuptrack/coordination/job_feed.py
@@ -40,6 +40,9 @@
         self._shard_state = shard_state
         self._note_changes = note_changes
         self._version = 0
+        # Jobs whose rows were applied. A read of the whole table repeats them without
+        # their progress, and they may have been forgotten since.
+        self._seen_ids = set()
 
     async def load(self):
         """Load the jobs and the progress that the previous scheduler stored."""
@@ -110,8 +113,14 @@
         }
         for row in rows:
             job_id, is_cancel = parse_job_key(row.key.key)
-            if row.is_removed or is_cancel or row.key.part != self._shard.part:
+            if is_cancel or row.key.part != self._shard.part:
                 continue
+            if row.is_removed:
+                self._seen_ids.discard(job_id)
+                continue
+            if job_id in self._seen_ids:
+                continue
+            self._seen_ids.add(job_id)
             try:
                 if job_id in unreadable_ids:
                     # Without its progress, tasks that are done would run again.
--- /dev/null
+++ b/tests/test_job_feed.py
@@ -0,0 +1,80 @@
+"""Jobs that the scheduler reads from the store."""
+
+from unittest import mock
+
+import anyio
+
+from emulator.virtual_clock import run_virtual
+from kingcuptrack.coordination.job_feed import JobFeed
+from kingcuptrack.coordination.ports import (
+    HISTORY_LOST,
+    Row,
+    RowsRead,
+    Shard,
+    Store,
+)
+from kingcuptrack.coordination.rows import JOBS_TABLE, job_key, progress_key
+from kingcuptrack.outcomes import Done, Refused
+from kingcuptrack.state.progress import JobProgress, JobState
+from kingcuptrack.state.records import encode_progress, encode_record
+
+from .shard_states import add_job, make_shard_state, make_step
+from .support import check, function_tests
+
+load_tests = function_tests(__name__)
+
+SHARD = Shard()
+
+
+def _follow_after_lost_history(*, progress, forget_during_read):
+    """Load one job, lose the history of the feed, and read the table again.
+
+    Returns the jobs of the shard state.
+    """
+    shard_state = make_shard_state({"r0": ["w0"]})
+    submission = add_job(make_shard_state({}), "job", make_step()).submission
+    job_row = Row(key=job_key(SHARD, "job"), value=encode_record(submission), version=3)
+    progress_row = Row(key=progress_key(SHARD, "job"), value=progress, version=4)
+    is_loaded = False
+
+    async def read(*, table, **query):
+        if is_loaded and forget_during_read:
+            shard_state.forget_finished_job("job")
+        row = job_row if table == JOBS_TABLE else progress_row
+        return Done(value=RowsRead(rows=(row,), version=5))
+
+    async def follow(*, table, after_version, wait_seconds):
+        await anyio.sleep(0.1)
+        return Refused(code=HISTORY_LOST)
+
+    async def play():
+        nonlocal is_loaded
+        feed = JobFeed(
+            store=Store(read=read, transact=None, follow=follow),
+            clocks=mock.Mock(steady=anyio.current_time),
+            shard=SHARD,
+            chain=mock.Mock(epoch=1),
+            shard_state=shard_state,
+            note_changes=lambda: None,
+        )
+        await feed.load()
+        check.assertEqual(shard_state.jobs, {})
+        is_loaded = True
+        with anyio.move_on_after(0.5):
+            await feed.follow()
+
+    run_virtual(play)
+    return shard_state.jobs
+
+
+def test_a_job_removed_while_the_table_is_read_again_is_not_added():
+    """Guards against tasks that run again when the read began before the removal."""
+    progress = encode_progress(JobProgress(state=JobState.COMPLETED))
+    jobs = _follow_after_lost_history(progress=progress, forget_during_read=True)
+    check.assertEqual(jobs, {})
+
+
+def test_a_job_with_unreadable_progress_is_not_added_by_a_later_read():
+    """Guards against tasks that run again because their progress was not read."""
+    jobs = _follow_after_lost_history(progress=b"?", forget_during_read=False)
+    check.assertEqual(jobs, {})
