Acknowledge no ends while a worker may have restarted

Cause: a worker that restarts under its id between two answered polls and accepts a start numbers its ends anew, and the next poll could delete the end of that run, which would run again (TWICE).

--- a/kingcuptrack/coordination/sessions.py
+++ b/kingcuptrack/coordination/sessions.py
@@ -94,6 +94,7 @@
     _stop_sent_at_seconds: dict = attrs.field(factory=dict, init=False)
     _unknown_runs: dict = attrs.field(factory=dict, init=False)
     _is_reachable: bool = attrs.field(default=True, init=False)
+    _may_have_restarted: bool = attrs.field(default=False, init=False)
 
     async def run(self):
         """Poll the worker and send it orders until cancelled."""
@@ -192,8 +193,8 @@
         may_extend = self._is_reachable and self.scheduler.may_extend_leases()
         request = PollRequest(
             token=token,
-            # After a silence, the worker may have restarted and number its ends anew.
-            acknowledged_end=self.acknowledged_end if self._is_reachable else 0,
+            # A worker that has restarted numbers its ends anew.
+            acknowledged_end=0 if self._may_have_restarted else self.acknowledged_end,
             deadline_seconds=self.leases.grant(now_seconds) if may_extend else None,
             wait_seconds=wait_seconds,
         )
@@ -239,6 +240,7 @@
         elif report.clock_seconds < self._worker_clock_seconds:
             # A newer answer has already been applied.
             return
+        self._may_have_restarted = False
         self._worker_clock_seconds = report.clock_seconds
         self._answered_at_seconds = report.received_at_seconds
         report = attrs.evolve(report, life=self._life)
@@ -321,6 +323,8 @@
             run.phase = RunPhase.UNSETTLED
             self._log_start(run, "unknown", "the worker has restarted meanwhile")
         elif isinstance(outcome, Done):
+            if outcome.value < self._worker_clock_seconds:
+                self._may_have_restarted = True
             # Answers to earlier polls cannot show whether a new life has this run.
             self._answered_at_seconds = self._now_seconds()
             self._log_start(run, "accepted", "")
@@ -433,6 +437,7 @@
             self.scheduler.end_replaced_worker(self.worker_id)
 
     def _note_unreachable(self, outcome):
+        self._may_have_restarted = True
         if self._is_reachable:
             self._is_reachable = False
             if not _is_answer(outcome):
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -8,9 +8,9 @@
 from emulator.platform_service import NullObserver
 from emulator.virtual_clock import run_virtual
 from kingcuptrack.coordination.leases import LeaseTracker
-from kingcuptrack.coordination.ports import Clocks
+from kingcuptrack.coordination.ports import WORKER_BUSY, Clocks
 from kingcuptrack.coordination.sessions import ORDER_AGE_LIMIT_SECONDS, Session
-from kingcuptrack.outcomes import Done, Unknown
+from kingcuptrack.outcomes import Done, Refused, Unknown
 from kingcuptrack.state.shard_entities import Run, RunPhase
 
 from .cluster_plays import play_cluster, submit_job
@@ -299,6 +299,33 @@
         logger.enable("kingcuptrack")
 
 
+def test_a_poll_after_a_restart_acknowledges_no_ends_of_the_new_life():
+    """Guards against the loss of an end whose number an earlier life has used."""
+    requests = []
+
+    async def poll(*, request, **call):
+        requests.append(request)
+        return Refused(code=WORKER_BUSY)
+
+    async def play():
+        _, session = _apply_answers((-2.0, -1.9, 1, 50.0))
+        session.acknowledged_end = session.received_end = 5
+        scheduler = session.scheduler
+        scheduler.shard_state.workers["w0"] = mock.Mock(runs={})
+        scheduler.may_extend_leases = lambda: True
+        scheduler.workers.poll = poll
+        # The worker has restarted: its clock is at 0.05 s.
+        await session._send_start(_make_run(), "")
+        await session.poll(wait_seconds=0.0)
+        check.assertEqual([request.acknowledged_end for request in requests], [0])
+
+    logger.disable("kingcuptrack")
+    try:
+        run_virtual(play)
+    finally:
+        logger.enable("kingcuptrack")
+
+
 def test_an_answer_from_before_a_start_does_not_show_the_runs_of_a_new_life():
     """Guards against the withdrawal of a run that a restarted worker has accepted.
 
