Count the lapse at a worker whose entry has gone

Cause: a worker without an entry counted as one that leaves, so that a run restored by a later leader lapsed without a count.

--- a/kingcuptrack/state/crashes.py
+++ b/kingcuptrack/state/crashes.py
@@ -385,7 +385,7 @@
 
 
 def _is_leaving(worker):
-    return worker.last_entry is None or worker.last_entry.is_draining
+    return worker.last_entry is not None and worker.last_entry.is_draining
 
 
 def _find_suspects(runs):
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -417,3 +417,15 @@
     shard_state.apply_report("w0-again", make_report(now_seconds=2.0))
     start_and_crash(shard_state, ["job"], "w0-again", number=2, now_seconds=6.0)
     check.assertEqual(job.progress.state, JobState.RUNNING)
+
+
+def test_a_lapse_at_a_worker_without_an_entry_is_not_counted():
+    """Guards against unlimited starts when the entry goes before the next leader."""
+    shard_state = make_crash_state()
+    job = add_job(shard_state, "bad", make_step())
+    start_run(shard_state, "bad", "w0")
+    restored = make_shard_state({"r0": WORKER_IDS[1:]})
+    progress = decode_progress(encode_progress(job.progress))
+    job = restored.add_job(job.submission, now_seconds=8.0, progress=progress)
+    restored.end_lapsed_runs("w0", now_seconds=20.0)
+    check.assertEqual(crashes_count(job), 1)
