--- a/kingcuptrack/state/crashes.py
+++ b/kingcuptrack/state/crashes.py
@@ -116,8 +116,8 @@
     return len(others) >= COINCIDENT_WORKERS_COUNT
 
 
-def is_proven(task, crash, job_id, unforeseen, *, repeaters, is_same_address):
-    """Return whether a task is given up as the cause of crashes.
+def should_give_up(task, crash, job_id, unforeseen, *, repeat_job_ids, is_same_address):
+    """Return whether to give up a task as the cause of crashes.
 
     Parameters
     ----------
@@ -128,7 +128,7 @@
         The job of the task.
     unforeseen : list of Crash
         Recent crashes of other workers, where no task was suspected before.
-    repeaters : set of str
+    repeat_job_ids : set of str
         Jobs with a task under which several workers have crashed.
     is_same_address : bool
         Whether an earlier crash under the job was at the same address.
@@ -140,9 +140,9 @@
         return is_most and bool(certain_count or not other_job_ids)
     if task.crashes_count >= MOST_CRASHES_COUNT:
         return True
-    if other_job_ids & repeaters:
+    if other_job_ids & repeat_job_ids:
         return False
-    explaining = {job_id, *repeaters}
+    explaining = {job_id, *repeat_job_ids}
     is_clear = (
         not other_job_ids
         and not is_same_address
@@ -183,7 +183,7 @@
         # Jobs with suspected tasks, by id.
         self._suspect_jobs = {}
         # Jobs with a task under which workers have crashed more than once.
-        self._repeaters = set()
+        self._repeat_job_ids = set()
 
     def restore(self, job, *, now_seconds):
         """Suspect the tasks of a stored job under which workers have crashed."""
@@ -199,7 +199,7 @@
                         )
                         self._suspect(job, ref, now_seconds)
                         if task.crashes_count >= CERTAIN_CRASHES_COUNT:
-                            self._repeaters.add(job.submission.job_id)
+                            self._repeat_job_ids.add(job.submission.job_id)
 
     def held_worker_ids(self):
         """Return the workers where a suspect was started that is not cleared yet."""
@@ -285,7 +285,7 @@
         if run.ref not in job.suspect_refs and not task.crashes_count:
             return False
         task.clear_crashes()
-        self._repeaters.discard(run.ref.job_id)
+        self._repeat_job_ids.discard(run.ref.job_id)
         job.suspect_refs.discard(run.ref)
         job.has_survivor = True
         job.suspects_changed_at_seconds = now_seconds
@@ -307,17 +307,17 @@
             else:
                 task.doubtful_crashes_count += 1
             if task.crashes_count >= CERTAIN_CRASHES_COUNT:
-                self._repeaters.add(job_id)
-            if job_id in self._repeaters or not is_coincidence(
+                self._repeat_job_ids.add(job_id)
+            if job_id in self._repeat_job_ids or not is_coincidence(
                 crash, job_id, unforeseen
             ):
                 self._suspect(self._jobs[job_id], run.ref, now_seconds)
-            if is_proven(
+            if should_give_up(
                 task,
                 crash,
                 job_id,
                 unforeseen,
-                repeaters=self._repeaters,
+                repeat_job_ids=self._repeat_job_ids,
                 is_same_address=self._history.has_address(crash, job_id),
             ):
                 given_up[job_id] = _describe_crashes(run.ref, task)
