Log where the time of each job went, and tell why jobs were late

The final line of a job now has its objective, whether it was met and its time by phase, which add up to the whole; the metrics have a counter and a histogram of them. The command late prints late jobs by priority and cause from the logs of all instances, and the timeline of one job.

--- a/kingcuptrack/coordination/decision_log.py
+++ b/kingcuptrack/coordination/decision_log.py
@@ -118,18 +118,3 @@
         worker_id=worker_id,
         factor=round(factor, 2),
     )
-
-
-def log_final_state(job, *, wall_seconds):
-    """Log the stored final state of a job, once."""
-    if job.is_final_logged:
-        return
-    job.is_final_logged = True
-    log_event(
-        "job",
-        outcome=job.progress.state.value,
-        job_id=job.submission.job_id,
-        queue=job.submission.queue,
-        reason=job.progress.failure_reason,
-        seconds=round(wall_seconds - job.submission.accepted_at_seconds, 3),
-    )
--- a/kingcuptrack/coordination/scheduler.py
+++ b/kingcuptrack/coordination/scheduler.py
@@ -30,13 +30,13 @@
 from .decision_log import (
     DecisionLog,
     log_crash,
-    log_final_state,
     log_pair,
     log_placement,
     log_speed,
     log_stop,
 )
 from .job_feed import JobFeed
+from .job_log import JobLog
 from .learned_rows import (
     INTERFERENCE_SUBJECT,
     SPEEDS_SUBJECT,
@@ -145,6 +145,9 @@
         )
         self._plan_timing = PlanTiming(shard_state=self.shard_state)
         self._decision_log = DecisionLog()
+        self._job_log = JobLog(
+            clocks=self.clocks, metrics=metrics, run_times=self.shard_state.run_times
+        )
         self._learned_rows = LearnedRows(
             shard=shard, subjects=_list_subjects(self.shard_state, rules.features)
         )
@@ -259,7 +262,9 @@
 
     def confirm_start(self, run, clock_seconds):
         """Record that the worker accepted the start order of a run."""
-        self.shard_state.confirm_start(run, clock_seconds=clock_seconds)
+        self.shard_state.confirm_start(
+            run, clock_seconds=clock_seconds, now_seconds=self.clocks.steady()
+        )
         if run.is_stopping:
             self._wake_session(run.worker_id)
         self._request_commit_of_changes()
@@ -608,7 +613,7 @@
         for job_id in batch.job_ids:
             job = self.shard_state.jobs[job_id]
             if job.progress.is_final and job_id not in self.shard_state.dirty_job_ids:
-                log_final_state(job, wall_seconds=self.clocks.wall())
+                self._job_log.note_final_state(job, now_seconds=now_seconds)
         if batch.removes:
             self.shard_state.forget_finished_job(parse_job_key(batch.removes[0].key)[0])
         self.shard_state.move_finished_jobs(now_seconds=now_seconds)
--- a/kingcuptrack/platform/__main__.py
+++ b/kingcuptrack/platform/__main__.py
@@ -1,6 +1,7 @@
 """Command line ``python -m kingcuptrack.platform COMMAND``.
 
-Runs an instance, checks its settings or a configuration, or shows what the store holds.
+Runs an instance, checks its settings or a configuration, shows what the store holds, or
+tells from logs why jobs were late.
 """
 
 import sys
@@ -12,6 +13,7 @@
 from ..coordination.inspection import InspectionError
 from ..tools.inspection_text import describe_cluster, describe_job
 from .config_check import run_config_check
+from .lateness import run_lateness
 from .program import make_environment, run_program
 from .settings import SettingsError, load_settings, settings_path
 
@@ -67,6 +69,15 @@
     return _inspect(store, lambda environment: describe_job(environment, job_id))
 
 
+def late(*files: Path, job: str = ""):
+    """Show from logs why jobs were late, by priority and cause.
+
+    :param files: logs of all instances; standard input if there are none
+    :param job: id of a job, whose timeline is shown instead
+    """
+    return run_lateness(files, job_id=job)
+
+
 def _inspect(store, describe):
     try:
         url = f"http://{store}" if store else load_settings(settings_path()).store_url
@@ -85,7 +96,7 @@
     """Run the given command, or an instance if there is none."""
     if len(sys.argv) == 1:
         return run()
-    return defopt.run([run, check, check_config, status, job])
+    return defopt.run([run, check, check_config, status, job, late])
 
 
 if __name__ == "__main__":
--- a/kingcuptrack/prometheus_metrics.py
+++ b/kingcuptrack/prometheus_metrics.py
@@ -11,6 +11,8 @@
 # The buckets range from the duration of a lookup in memory to more than the default
 # timeout of a request, `http_api.DEFAULT_DEADLINE_SECONDS`.
 LATENCY_BUCKETS_SECONDS = (0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5)
+# Phases of jobs last from a commit to the longest runs.
+PHASE_BUCKETS_SECONDS = (0.01, 0.05, 0.2, 0.5, 1, 2, 5, 10, 30, 120, 600, 3600)
 
 
 class PrometheusMetrics:
@@ -87,6 +89,19 @@
             buckets=LATENCY_BUCKETS_SECONDS,
             registry=self._registry,
         )
+        self._completed_jobs = Counter(
+            "kingcuptrack_completed_jobs",
+            "Completed jobs by priority and whether they met their objective",
+            ["priority", "outcome"],
+            registry=self._registry,
+        )
+        self._job_phases = Histogram(
+            "kingcuptrack_job_phase_seconds",
+            "Time of completed jobs by priority and phase",
+            ["priority", "phase"],
+            buckets=PHASE_BUCKETS_SECONDS,
+            registry=self._registry,
+        )
 
     def count_request(self, kind, outcome):
         """Count an answered request by kind and outcome."""
@@ -114,6 +129,15 @@
         """Count a job that was refused for lack of capacity."""
         self._refusals.labels(reason).inc()
 
+    def count_completed_job(self, priority, *, is_on_time):
+        """Count a completed job."""
+        outcome = "on_time" if is_on_time else "late"
+        self._completed_jobs.labels(priority, outcome).inc()
+
+    def observe_job_phase(self, priority, phase, seconds):
+        """Record how long a completed job was in a phase; see `job_phases`."""
+        self._job_phases.labels(priority, phase).observe(seconds)
+
     def set_slow_workers(self, count):
         """Record the number of workers that are slow by their learned factor."""
         self._slow_workers.set(count)
--- a/kingcuptrack/state/cluster/shard_entities.py
+++ b/kingcuptrack/state/cluster/shard_entities.py
@@ -6,6 +6,7 @@
 
 from ..jobs.progress import JobProgress
 from ..jobs.steps import NO_RESOURCES, Resources, Submission, TaskRef
+from .job_phases import PastRun
 from .reports import WorkerEntry
 
 
@@ -27,9 +28,9 @@
     its whole run time is known. The worker first reported progress at
     ``progress_since_seconds``, with ``first_percent``; ``percent`` last changed at
     ``percent_changed_at_seconds``; ``is_projected`` means that a run time was projected
-    from it. ``confirmed_clock_seconds`` is the worker's clock when it confirmed the
-    run; ``has_survived`` means that the worker listed the run some time after that.
-    ``token`` is the fencing token of its start order. ``kind`` names work that behaves
+    from it. The worker confirmed the run at ``confirmed_at_seconds``, None before, when
+    its own clock was ``confirmed_clock_seconds``; ``has_survived`` means that the
+    worker listed the run some time after that. ``token`` is the fencing token of its start order. ``kind`` names work that behaves
     alike. ``stop_cause`` is the kind of its ``stop_reason``. A new checkpoint was last
     reported at ``checkpoint_at_seconds``, None before the first,
     ``checkpoint_interval_seconds`` after the one before it or after the claim.
@@ -51,6 +52,7 @@
     is_start_observed: bool = False
     phase: RunPhase = RunPhase.CLAIMED
     claimed_at_seconds: float = 0.0
+    confirmed_at_seconds: float | None = None
     confirmed_clock_seconds: float = 0.0
     has_survived: bool = False
     token: int = 0
@@ -67,7 +69,6 @@
     stop_reason: str = ""
     stop_cause: str = ""
     slowdown: float = 1.0
-    gang_worker_ids: tuple[str, ...] = ()
 
     @property
     def key(self):
@@ -133,13 +134,15 @@
     are the tasks that may have crashed their worker; ``has_survivor`` means that one of
     them has been cleared since the latest crash. The last suspicion or clearing was at
     ``suspects_changed_at_seconds``. ``ready_units`` are the units that are
-    ready to start; None after a change that may affect them.
+    ready to start; None after a change that may affect them. This scheduler has known
+    the job since ``known_since_seconds``; ``past_runs`` have ended since then.
     """
 
     submission: Submission
     progress: JobProgress = attrs.field(factory=JobProgress)
     is_cancelled: bool = False
     has_started: bool = False
+    known_since_seconds: float = 0.0
     ready_since_seconds: float = 0.0
     runs: dict[tuple[TaskRef, int], Run] = attrs.field(factory=dict)
     failed_worker_ids: set[str] = attrs.field(factory=set)
@@ -150,6 +153,7 @@
     suspects_changed_at_seconds: float = 0.0
     is_final_logged: bool = False
     ready_units: tuple | None = None
+    past_runs: list[PastRun] = attrs.field(factory=list)
 
     def step_runs(self, occurrence, step_number):
         """Return the runs of one step of one occurrence."""
--- a/kingcuptrack/state/cluster/shard_state.py
+++ b/kingcuptrack/state/cluster/shard_state.py
@@ -16,6 +16,7 @@
 from ..jobs.steps import GUARANTEED_PRIORITY, NO_RESOURCES, TaskRef
 from .crashes import SURVIVAL_SECONDS, CrashAttribution
 from .interference import Interference
+from .job_phases import make_past_run
 from .neighbours import NeighbourTimes
 from .recent_usage import RecentUsage
 from .run_learning import RunLearning
@@ -114,6 +115,7 @@
         job = Job(
             submission=submission,
             progress=progress or JobProgress(),
+            known_since_seconds=now_seconds,
             ready_since_seconds=now_seconds,
         )
         job.has_started = job.progress.state == JobState.RUNNING
@@ -228,7 +230,7 @@
         """Remove a run that certainly does not exist at its worker."""
         self._end_run(run, how=None, checkpoint="", now_seconds=now_seconds)
 
-    def confirm_start(self, run, *, clock_seconds):
+    def confirm_start(self, run, *, clock_seconds, now_seconds):
         """Record that the worker accepted the start order.
 
         ``clock_seconds`` is the time of the worker's clock when it accepted the order.
@@ -236,6 +238,7 @@
         if run.key not in self._worker(run.worker_id).runs:
             return
         run.phase = RunPhase.CONFIRMED
+        run.confirmed_at_seconds = now_seconds
         run.confirmed_clock_seconds = clock_seconds
         run.is_start_observed = not run.checkpoint
         self._mark_started(self.jobs[run.ref.job_id])
@@ -554,6 +557,7 @@
         now_seconds = report.received_at_seconds
         if run.phase != RunPhase.CONFIRMED:
             run.phase = RunPhase.CONFIRMED
+            run.confirmed_at_seconds = now_seconds
             run.confirmed_clock_seconds = report.clock_seconds
             if run.is_stopping:
                 # Stop orders are only sent for confirmed runs.
@@ -604,6 +608,15 @@
             return
         job = self.jobs[run.ref.job_id]
         step = job.submission.steps[run.ref.step]
+        if not step.is_long_running:
+            job.past_runs.append(
+                make_past_run(
+                    run,
+                    how=how,
+                    ended_at_seconds=now_seconds,
+                    expected_seconds=self.expected_seconds(run),
+                )
+            )
         if how == "failed":
             job.failed_worker_ids.add(run.worker_id)
         if how != "done" and not run.checkpoint and not step.is_long_running:
--- a/tests/shard_states.py
+++ b/tests/shard_states.py
@@ -126,7 +126,7 @@
     run = shard_state.claim(
         make_ref(job_id, index), worker_id, number=number, now_seconds=now_seconds
     )
-    shard_state.confirm_start(run, clock_seconds=now_seconds)
+    shard_state.confirm_start(run, clock_seconds=now_seconds, now_seconds=now_seconds)
     return run
 
 
--- a/tests/test_crash_search.py
+++ b/tests/test_crash_search.py
@@ -293,7 +293,9 @@
                 run.phase = RunPhase.UNSETTLED
             else:
                 self.shard_state.confirm_start(
-                    run, clock_seconds=self.now_seconds - machine.started_seconds
+                    run,
+                    clock_seconds=self.now_seconds - machine.started_seconds,
+                    now_seconds=self.now_seconds,
                 )
             if is_bad:
                 self.crash(machine)
