Plan as soon as the first worker list arrives after a takeover

A plan that was due before the worker list had been read postponed the next one by 0.25 s, although the list usually arrives 10 ms later.

--- a/kingcuptrack/coordination/plan_timing.py
+++ b/kingcuptrack/coordination/plan_timing.py
@@ -30,6 +30,7 @@
     shard_state: object
     _planned_changes_count: int = attrs.field(default=-1, init=False)
     _from_seconds: float = attrs.field(default=float("-inf"), init=False)
+    _postponed_until_seconds: float = attrs.field(default=float("-inf"), init=False)
     _replan_at_seconds: float = attrs.field(default=float("-inf"), init=False)
 
     def has_changes(self):
@@ -38,13 +39,13 @@
 
     def is_due(self, now_seconds):
         """Return whether to plan now."""
-        if now_seconds < self._from_seconds:
+        if now_seconds < max(self._from_seconds, self._postponed_until_seconds):
             return False
         return self.has_changes() or now_seconds >= self._replan_at_seconds
 
     def wait_seconds(self, now_seconds):
         """Return the time until the next plan, at most `REPLAN_INTERVAL_SECONDS`."""
-        plan_at_seconds = self._from_seconds
+        plan_at_seconds = max(self._from_seconds, self._postponed_until_seconds)
         if not self.has_changes():
             plan_at_seconds = max(plan_at_seconds, self._replan_at_seconds)
         return min(max(0.0, plan_at_seconds - now_seconds), REPLAN_INTERVAL_SECONDS)
@@ -61,7 +62,11 @@
 
     def postpone(self, now_seconds):
         """Note that no plan is possible yet."""
-        self._from_seconds = now_seconds + REPLAN_INTERVAL_SECONDS
+        self._postponed_until_seconds = now_seconds + REPLAN_INTERVAL_SECONDS
+
+    def resume(self):
+        """Note that plans may be possible again."""
+        self._postponed_until_seconds = float("-inf")
 
     def request(self):
         """Let the next plan be made although nothing has changed."""
--- a/kingcuptrack/coordination/scheduler.py
+++ b/kingcuptrack/coordination/scheduler.py
@@ -370,6 +370,7 @@
                 )
                 for worker_id in list(self.shard_state.workers):
                     self._open_session(worker_id)
+                self._plan_timing.resume()
                 self._request_commit_of_changes()
             await anyio.sleep(WORKER_LIST_INTERVAL_SECONDS)
 
