--- a/kingcuptrack/coordination/scheduler.py
+++ b/kingcuptrack/coordination/scheduler.py
@@ -25,7 +25,6 @@
 from ..state.planning.separation import find_move
 from ..state.planning.shares import make_weights
 from ..state.planning.stragglers import find_stragglers
-from ..state.planning.urgent_stragglers import WATCH_POLL_WAIT_SECONDS, is_watched
 from .batches import JOBS_PER_COMMIT, make_batch
 from .commits import Committed, ConditionFailed, LeadershipLostError
 from .decision_log import (
@@ -289,18 +288,10 @@
             self._plan_timing.request()
             self._request_commit()
 
-    def poll_wait_seconds(self, worker_id=None):
-        """Return how long polls of busy workers wait for the end of a run.
-
-        Polls of a worker with an urgent run that has just started wait less.
-        """
+    def poll_wait_seconds(self):
+        """Return how long polls of busy workers wait for the end of a run."""
         busy_workers_count = self.shard_state.busy_workers_count
-        wait_seconds = poll_wait_seconds(busy_workers_count, self._chain.holder_cores)
-        worker = self.shard_state.workers.get(worker_id)
-        now_seconds = self.clocks.steady()
-        if worker and any(is_watched(run, now_seconds) for run in worker.runs.values()):
-            return min(wait_seconds, WATCH_POLL_WAIT_SECONDS)
-        return wait_seconds
+        return poll_wait_seconds(busy_workers_count, self._chain.holder_cores)
 
     def end_replaced_worker(self, worker_id):
         """End the runs of a worker whose address another worker has taken over."""
--- a/kingcuptrack/coordination/sessions.py
+++ b/kingcuptrack/coordination/sessions.py
@@ -146,7 +146,7 @@
                 continue
             is_busy = bool(self._runs()) or bool(self._unknown_runs)
             is_answered = await self.poll(
-                wait_seconds=self.scheduler.poll_wait_seconds(self.worker_id)
+                wait_seconds=self.scheduler.poll_wait_seconds()
                 if is_busy and self._is_reachable
                 else 0
             )
--- a/kingcuptrack/state/planning/stragglers.py
+++ b/kingcuptrack/state/planning/stragglers.py
@@ -3,16 +3,13 @@
 Designed for a few workers that hang or are several times slower than the rest: their
 runs are restarted on other workers, and they get no new work for a while. Estimates of
 callers are wrong by a factor of several, so a run is compared only with other runs of
-its step. Urgent runs, which have little slack, are judged sooner, while a restart can
-still be on time; see `urgent_stragglers`.
+its step.
 """
 
 import statistics
 
 import attrs
 
-from .urgent_stragglers import find_urgent_reason
-
 # A run hangs if its progress did not change for this long and for this fraction of its
 # expected run time. Progress is reported in percent and so changes rarely in long runs.
 HANG_SECONDS = 2.0
@@ -69,10 +66,6 @@
                 continue
             # Runs outside the rack of their data are compared with each other.
             key = run.ref.occurrence, run.ref.step, run.is_remote
-            reason = find_urgent_reason(shard_state, job, run, now_seconds=now_seconds)
-            if reason:
-                stragglers.append(Straggler(run=run, reason=reason))
-                continue
             if key not in medians_by_key:
                 medians_by_key[key] = _median_seconds(shard_state, job, key)
             idle_seconds = worker.answered_at_seconds - run.percent_changed_at_seconds
