--- a/kingcuptrack/state/cluster/run_times.py
+++ b/kingcuptrack/state/cluster/run_times.py
@@ -11,10 +11,6 @@
 
 # Weight of the newest run in the moving averages.
 LEARNING_WEIGHT = 0.2
-# Mean error of the logarithm of run times that is assumed before any were seen.
-UNKNOWN_DEVIATION = 0.35
-# Mean errors by which the shortest likely run time is below the expected one.
-LIKELY_DEVIATIONS = 2.0
 # Lower bound of run times, since the logarithm of 0 does not exist.
 SHORTEST_SECONDS = 0.001
 
@@ -68,16 +64,6 @@
             return estimate_seconds * ratio
         return seconds
 
-    def shortest_likely_seconds(self, queue, estimate_seconds):
-        """Return a run time that few tasks stay below, by the errors seen so far."""
-        deviation = UNKNOWN_DEVIATION
-        if queue in self._queues:
-            times = self._queues[queue]
-            _, ratio = self.prediction(queue)
-            deviation = times.ratio.deviation if ratio else times.seconds.deviation
-        seconds = self.expect_seconds(queue, estimate_seconds)
-        return seconds * math.exp(-LIKELY_DEVIATIONS * deviation)
-
     def prediction(self, queue):
         """Return (seconds, ratio) by which run times of a known queue are expected.
 
--- a/kingcuptrack/state/planning/plan_rules.py
+++ b/kingcuptrack/state/planning/plan_rules.py
@@ -23,9 +23,6 @@
     # Longest time that guaranteed work waits for running work to end; must leave time
     # to stop other work before its start deadline.
     guaranteed_room_wait_seconds: float = 1.2
-    # Time to stop other work and start in its room, which has to be left when ends that
-    # were waited for do not come.
-    stop_seconds: float = 0.25
     # Gangs with a reservation at a time; each reservation keeps other work waiting.
     reservations_count: int = 2
     # Limit of the work lost by stopping runs for urgent work beyond its guarantee, as a
--- a/kingcuptrack/state/planning/planner.py
+++ b/kingcuptrack/state/planning/planner.py
@@ -509,21 +509,9 @@
         return best
 
     def _reserve_freed_room(self, unit, requirements, is_guaranteed):
-        """Reserve room that running work frees; returns whether it is free in time.
-
-        The objective grows with the run time of the unit, so that the shortest likely
-        one limits the wait.
-        """
-        queue = unit.job.submission.queue
-        wait_seconds = (
-            slack_seconds(
-                unit,
-                self.wall_seconds,
-                lambda step: self.shard_state.run_times.shortest_likely_seconds(
-                    queue, step.estimate_seconds
-                ),
-            )
-            - self.rules.stop_seconds
+        """Reserve room that running work frees; returns whether it is free in time."""
+        wait_seconds = slack_seconds(
+            unit, self.wall_seconds, self.run_time_estimator(unit)
         )
         if is_guaranteed:
             waited_seconds = self.now_seconds - unit.job.ready_since_seconds
