--- a/kingcuptrack/coordination/lost_work.py
+++ b/kingcuptrack/coordination/lost_work.py
@@ -1,7 +1,7 @@
 """Core-seconds that are lost when runs end early, by cause."""
 
 from ..state.jobs.progress import EndKind
-from ..state.planning.preemption import lost_core_seconds
+from ..state.planning.wasted_work import lost_core_seconds
 
 
 class StopCause:
--- a/kingcuptrack/coordination/scheduler.py
+++ b/kingcuptrack/coordination/scheduler.py
@@ -13,10 +13,7 @@
 from ..outcomes import Done
 from ..state.cluster.shard_entities import RunPhase
 from ..state.cluster.shard_state import ShardState
-from ..state.planning.departures import (
-    find_runs_past_departure,
-    find_runs_to_migrate,
-)
+from ..state.planning.departures import find_runs_past_departure
 from ..state.planning.load_view import make_load_view
 from ..state.planning.plan_rules import DEFAULT_RULES
 from ..state.planning.planner import make_plan
@@ -577,9 +574,7 @@
         for straggler in stragglers:
             self.shard_state.record_straggler(straggler.run, now_seconds=now_seconds)
             self._stop(straggler.run, straggler.reason, StopCause.STRAGGLER)
-        is_sparing = self._rules.features.sparing
-        find_runs = find_runs_to_migrate if is_sparing else find_runs_past_departure
-        for run in find_runs(self.shard_state, now_seconds=now_seconds):
+        for run in find_runs_past_departure(self.shard_state, now_seconds=now_seconds):
             reason = "the worker leaves before the run can end"
             self._stop(run, reason, StopCause.DEPARTURE)
         move = find_move(
--- a/kingcuptrack/state/cluster/shard_entities.py
+++ b/kingcuptrack/state/cluster/shard_entities.py
@@ -30,13 +30,14 @@
     ``percent_changed_at_seconds``; ``is_projected`` means that a run time was projected
     from it. The worker confirmed the run at ``confirmed_at_seconds``, None before, when
     its own clock was ``confirmed_clock_seconds``; ``has_survived`` means that the
-    worker listed the run some time after that. ``token`` is the fencing token of its start order. ``kind`` names work that behaves
-    alike. ``stop_cause`` is the kind of its ``stop_reason``. A new checkpoint was last
-    reported at ``checkpoint_at_seconds``, None before the first,
-    ``checkpoint_interval_seconds`` after the one before it or after the claim.
-    ``slowdown`` is the run time expected where the run was placed, relative to average
-    workers; a gang has that of its slowest member. ``gang_worker_ids`` are the workers
-    of its gang, one for each member, known when the first member is done.
+    worker listed the run some time after that. ``token`` is the fencing token of its
+    start order. ``kind`` names work that behaves alike. ``stop_cause`` is the kind of
+    its ``stop_reason``. A new checkpoint was last reported at
+    ``checkpoint_at_seconds``, None before the first, ``checkpoint_interval_seconds``
+    after the one before it or after the claim. ``slowdown`` is the run time expected
+    where the run was placed, relative to average workers; a gang has that of its
+    slowest member. ``gang_worker_ids`` are the workers of its gang, one for each
+    member, known when the first member is done.
     """
 
     ref: TaskRef
--- a/kingcuptrack/state/cluster/shard_state.py
+++ b/kingcuptrack/state/cluster/shard_state.py
@@ -23,7 +23,6 @@
 from .run_observations import kind_of
 from .run_times import RunTimes
 from .shard_entities import FinishedJob, Job, Run, RunPhase, Worker
-from .urgent_arrivals import UrgentArrivals
 from .worker_speeds import WorkerSpeeds
 
 # How many times as long a task takes outside its rack, if the settings give no value.
@@ -58,8 +57,6 @@
         self.workers = {}
         self.run_times = RunTimes()
         self.worker_speeds = WorkerSpeeds(is_on=learns_speeds)
-        # Arrival of urgent work, counted from all jobs that were added.
-        self.urgent_arrivals = UrgentArrivals()
         self.remote_factor = remote_factor
         # None unless interference is learned.
         self.interference = Interference() if learns_interference else None
@@ -105,8 +102,6 @@
         job_id = submission.job_id
         if job_id in self.jobs or job_id in self.finished_jobs:
             return None
-        is_urgent = submission.priority == GUARANTEED_PRIORITY
-        self.urgent_arrivals.add(submission, is_urgent=is_urgent)
         if progress is not None and progress.is_final and not progress.open_runs:
             self.finished_jobs[job_id] = FinishedJob(
                 known_since_seconds=now_seconds, is_cancelled=is_cancelled
--- a/kingcuptrack/state/planning/features.py
+++ b/kingcuptrack/state/planning/features.py
@@ -9,13 +9,12 @@
 
     ``speeds``: workers are chosen by their learned speed. ``interference``: tasks that
     slow each other down are kept apart. ``admission``: jobs that would end too late to
-    be of use are refused. ``sparing``: fewer runs are stopped for urgent work.
+    be of use are refused.
     """
 
     speeds: bool = False
     interference: bool = False
     admission: bool = False
-    sparing: bool = False
 
 
 NO_FEATURES = Features()
--- a/kingcuptrack/state/planning/planner.py
+++ b/kingcuptrack/state/planning/planner.py
@@ -11,7 +11,6 @@
 from .ordering import slack_seconds
 from .packing import SlotPool
 from .plan_rules import DEFAULT_RULES, PlanRules
-from .preemption import may_be_stopped
 from .quotas import Quotas, make_quotas
 from .scheduling_units import (
     PlanningPolicy,
@@ -21,7 +20,6 @@
 )
 from .separate_starts import SeparateStarts, make_separate_starts
 from .shares import Shares, make_shares
-from .sparing import SparingPass
 from .victims import (
     BORROWED_URGENT_COST_FACTOR,
     choose_reclaim,
@@ -88,21 +86,13 @@
     if not units:
         return Plan(groups=[], stops=[], waits=[])
     pool = SlotPool(make_slots(shard_state, policy, now_seconds=now_seconds))
-    shared = {
-        "shard_state": shard_state,
-        "policy": policy,
-        "rules": rules,
-        "now_seconds": now_seconds,
-        "wall_seconds": wall_seconds,
-    }
     planning_pass = _PlanningPass(
-        **shared,
+        shard_state=shard_state,
+        policy=policy,
+        rules=rules,
+        now_seconds=now_seconds,
+        wall_seconds=wall_seconds,
         pool=pool,
-        sparing=(
-            SparingPass(**shared, slots=list(pool.slots), units=units)
-            if rules.features.sparing
-            else None
-        ),
         urgent_gpus=dict(shard_state.urgent_gpus),
         other_gpus_count=shard_state.other_gpus_count,
         separate_starts=make_separate_starts(shard_state, now_seconds=now_seconds),
@@ -139,8 +129,6 @@
     quotas: Quotas
     shares: Shares
     worker_choice: WorkerChoice = NO_CHOICE
-    # Decisions of the feature ``sparing``; None if it is off.
-    sparing: SparingPass | None = None
     groups: list = attrs.field(factory=list)
     stops: list = attrs.field(factory=list)
     waits: list = attrs.field(factory=list)
@@ -151,8 +139,7 @@
     _expected_seconds_by_key: dict = attrs.field(factory=dict, init=False)
     _expected_ends_by_worker: dict = attrs.field(factory=dict, init=False)
     _usable_gpus_count: int | None = attrs.field(default=None, init=False)
-    # Victims by whether guaranteed work needs them and the time that it can wait;
-    # cleared when runs are stopped.
+    # Victims by whether guaranteed work needs them; cleared when runs are stopped.
     _victims: dict = attrs.field(factory=dict, init=False)
 
     def plan_units(self, units):
@@ -167,12 +154,6 @@
                     wall_seconds=self.wall_seconds,
                     expect=self.run_time_estimator(unit),
                 )
-                if self.sparing:
-                    is_guaranteed = unit in guaranteed
-                    key = (
-                        self.sparing.order_class(unit, is_guaranteed=is_guaranteed),
-                        *key,
-                    )
             except Exception as error:
                 self.waits.append((unit, f"cannot be ordered: {error!r}"))
             else:
@@ -186,8 +167,6 @@
 
     def _find_guaranteed(self, units):
         """Return the urgent units within the guarantees; older jobs take precedence."""
-        if self.sparing:
-            return self.sparing.find_guaranteed(units)
         promised = dict(self.urgent_gpus)
         guaranteed = set()
         urgent = [unit for unit in units if unit.priority == GUARANTEED_PRIORITY]
@@ -274,9 +253,7 @@
             self.other_gpus_count += unit.step.resources.gpus_count * len(chosen)
 
     def _record_wait(self, unit, fitting_count, is_complete, is_near_only):
-        if self.sparing and self.sparing.wait_reason(unit):
-            reason = self.sparing.wait_reason(unit)
-        elif is_complete:
+        if is_complete:
             reason = "work without urgency occupies its share"
         elif is_near_only and (unit.step.same_rack or unit.step.data_rack):
             reason = "no room in its rack yet"
@@ -298,8 +275,6 @@
         slack = left_seconds - slowdown * expected_seconds
         is_hurried = slack < self.rules.hurry_factor * expected_seconds
         share = self.rules.hurried_share if is_hurried else self.rules.patient_share
-        if self.sparing:
-            share = self.sparing.share(unit, is_hurried=is_hurried)
         room_count = max(0, self._non_urgent_gpus_left(share)) // gpus_count
         if unit.step.is_gang and room_count < len(chosen):
             # A gang larger than the share may start only when no other work without
@@ -368,7 +343,6 @@
             expected_seconds=expected_seconds,
             left_seconds=left_seconds,
             interference=make_interference_term(unit, self.shard_state),
-            reclaim=self.sparing.rank(unit) if self.sparing else None,
         )
         searches = _list_searches(unit, self.pool, is_near_only)
         chosen = []
@@ -394,8 +368,6 @@
 
     def _is_limited_to_near_workers(self, unit, is_guaranteed):
         """Return whether a unit with a preferred rack may be placed only there yet."""
-        if self.sparing and not self.sparing.fits_near(unit):
-            return False
         waited_seconds = self.now_seconds - unit.job.ready_since_seconds
         limit_seconds = self.rules.near_wait_factor * self._expected_seconds(unit)
         if is_guaranteed:
@@ -428,10 +400,7 @@
         may_reclaim = is_guaranteed or self.shares.may_reclaim(unit)
         if not self.rules.is_reclaiming or not may_reclaim:
             return False
-        wait_seconds = self._sparing_wait_seconds(unit, is_guaranteed)
-        if wait_seconds < 0:
-            return False
-        victims = self._find_victims(is_guaranteed, wait_seconds)
+        victims = self._find_victims(is_guaranteed)
         own_core_seconds = weighted_cores(unit.step.resources) * len(unit.indexes)
         own_core_seconds *= self._expected_seconds(unit)
         reclaim = self._cheapest_reclaim(
@@ -444,41 +413,20 @@
             and reclaim.cost > self.rules.borrowed_loss_factor * own_core_seconds
         ):
             return False
-        if reclaim.due_seconds > 0:
-            # The room is kept for the unit until stopping costs less.
-            self.pool.allocate(reclaim.slots, requirements)
-            return True
-        is_cheap = (
-            self.sparing
-            or reclaim.cost <= self.rules.cheap_loss_factor * own_core_seconds
-        )
+        is_cheap = reclaim.cost <= self.rules.cheap_loss_factor * own_core_seconds
         if not is_cheap and self._reserve_freed_room(unit, requirements, is_guaranteed):
             return True
         self._stop_victims(unit, reclaim, requirements)
         return True
 
-    def _sparing_wait_seconds(self, unit, is_guaranteed):
-        """Return how long a unit can wait for cheaper stops; 0 without ``sparing``."""
-        if not self.sparing:
-            return 0.0
-        return self.sparing.room_wait_seconds(
-            unit,
-            is_guaranteed=is_guaranteed,
-            slack_seconds=slack_seconds(
-                unit, self.wall_seconds, self.run_time_estimator(unit)
-            ),
-        )
-
-    def _find_victims(self, is_guaranteed, wait_seconds):
-        key = is_guaranteed, wait_seconds
-        if key not in self._victims:
-            self._victims[key] = find_victims(
+    def _find_victims(self, is_guaranteed):
+        if is_guaranteed not in self._victims:
+            self._victims[is_guaranteed] = find_victims(
                 self.shard_state,
                 lambda job, run: self._stop_cost_factor(job, run, is_guaranteed),
                 self.now_seconds,
-                make_victim=self.sparing and self.sparing.victim_maker(wait_seconds),
             )
-        return self._victims[key]
+        return self._victims[is_guaranteed]
 
     def _cheapest_reclaim(
         self, unit, requirements, victims, own_core_seconds, is_near_only
@@ -530,8 +478,6 @@
             # Its cost is already counted. The factor is not 0, since 0 means that the
             # run must not be stopped.
             return 1e-9
-        if self.sparing and not may_be_stopped(run, is_guaranteed=is_guaranteed):
-            return 0.0
         if run.priority > GUARANTEED_PRIORITY:
             return 1.0
         organisation = job.submission.organisation
--- a/kingcuptrack/state/planning/separation.py
+++ b/kingcuptrack/state/planning/separation.py
@@ -7,8 +7,8 @@
 
 from ..jobs.steps import GUARANTEED_PRIORITY
 from .packing import count_fitting
-from .preemption import RESTORE_SECONDS
 from .scheduling_units import make_slots, step_requirements
+from .wasted_work import RESTORE_SECONDS
 
 # A checkpoint older than this is too old for a move; the run is moved at its next one.
 # Must exceed the interval between searches, `scheduler.RUN_CHECK_INTERVAL_SECONDS`.
--- a/kingcuptrack/state/planning/victims.py
+++ b/kingcuptrack/state/planning/victims.py
@@ -25,27 +25,21 @@
     """Runs that can only be stopped together, and the work lost by stopping them.
 
     ``cost`` is in core-seconds, weighted by a factor for each run. ``freed`` maps the
-    workers of the runs to the resources that are freed there. The cost holds for a stop
-    in ``due_seconds``, 0 for now; the runs may end by themselves until then.
+    workers of the runs to the resources that are freed there.
     """
 
     runs: tuple
     cost: float
     freed: dict
-    due_seconds: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
 class Reclaim:
-    """Runs to stop, the slots that waiting tasks then use, and the cost of stopping.
-
-    The cost holds for a stop in ``due_seconds``.
-    """
+    """Runs to stop, the slots that waiting tasks then use, and the cost of stopping."""
 
     runs: list
     slots: list
     cost: float
-    due_seconds: float = 0.0
 
 
 def lost_core_seconds(run, now_seconds):
@@ -67,7 +61,7 @@
     return cores + CORES_PER_GPU * resources.gpus_count
 
 
-def find_victims(shard_state, cost_factor_of, now_seconds, *, make_victim=None):
+def find_victims(shard_state, cost_factor_of, now_seconds):
     """Return the victims by worker id, those with the lowest cost first.
 
     Parameters
@@ -77,26 +71,19 @@
         Returns the cost factor of stopping a run of a job, or 0 if the run must not be
         stopped.
     now_seconds : float
-    make_victim : callable, optional
-        Returns the `Victim` of runs that can only be stopped together, or None, given a
-        list of (run, cost factor) and the time; by default, it is to be stopped now. It
-        also gets the runs that must not be stopped, with the factor 0.
     """
-    make_victim = make_victim or _make_victim
     by_worker = {}
     for job in shard_state.jobs.values():
         groups = {}
         for run in job.runs.values():
             factor = 1.0 if run.is_stopping else cost_factor_of(job, run)
-            if not factor and make_victim is _make_victim:
+            if not factor:
                 continue
             is_gang = job.submission.steps[run.ref.step].is_gang
             key = (run.ref.occurrence, run.ref.step) if is_gang else run.key
             groups.setdefault(key, []).append((run, factor))
         for members in groups.values():
-            victim = make_victim(members, now_seconds)
-            if victim is None:
-                continue
+            victim = _make_victim(members, now_seconds)
             for worker_id in victim.freed:
                 by_worker.setdefault(worker_id, []).append(victim)
     for victims in by_worker.values():
@@ -202,7 +189,7 @@
 
         A reclaim that costs at least ``cost_limit`` is not returned.
         """
-        chosen, runs, cost, due_seconds = [], [], 0.0, 0.0
+        chosen, runs, cost = [], [], 0.0
         for _ in range(tasks_count):
             if not self._offers:
                 return None
@@ -214,9 +201,8 @@
             chosen.append(self._slots[worker_id])
             for victim in offer.victims:
                 runs += victim.runs
-                due_seconds = max(due_seconds, victim.due_seconds)
             self._place(worker_id, offer)
-        return Reclaim(runs=runs, slots=chosen, cost=cost, due_seconds=due_seconds)
+        return Reclaim(runs=runs, slots=chosen, cost=cost)
 
     def _offer_key(self, worker_id):
         cost = self._offers[worker_id].cost
--- a/kingcuptrack/state/planning/worker_choice.py
+++ b/kingcuptrack/state/planning/worker_choice.py
@@ -29,13 +29,9 @@
 EXPLORING_TASKS_COUNT = 2
 # Lower bound of run times, against division by 0.
 SHORTEST_SECONDS = 0.001
-# Weight of a rank of the reclaim zone; above the number of classes, so that workers of
-# the zone are avoided also where their speed would suit. Work that is stopped loses
-# more than the choice among classes gains.
-ZONE_WEIGHT = 10
-# Ranks of workers where work with slack would end too late begin here; above those of
-# the racks of a zone.
-LATE_RANK = 100_000
+# Ranks of workers where work with slack would end too late begin here; far above the
+# number of classes.
+LATE_RANK = 1000
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -83,30 +79,23 @@
             return None
         return lambda slot: self.slowdown(slot.worker_id) > limit
 
-    def make_chooser(
-        self, unit, *, expected_seconds, left_seconds, interference=None, reclaim=None
-    ):
+    def make_chooser(self, unit, *, expected_seconds, left_seconds, interference=None):
         """Return a function that chooses slots for the tasks of a unit.
 
         It is called with slots, requirements and ``same_rack``, and returns the slots
         chosen; see `packing.choose_slots`. ``expected_seconds`` is the run time of a
         task on an average worker and ``left_seconds`` the time left for it;
-        ``interference`` is a result of `make_interference_term` and ``reclaim`` one of
-        `SparingPass.rank`.
+        ``interference`` is a result of `make_interference_term`.
         """
         times = {"expected_seconds": expected_seconds, "left_seconds": left_seconds}
-        rank = make_rank(
-            unit, self, interference=interference, reclaim=reclaim, **times
-        )
+        rank = make_rank(unit, self, interference=interference, **times)
         explores = can_explore(unit, self, **times)
 
         def choose(slots, requirements, *, same_rack):
             tasks_count = len(unit.indexes)
             explored = []
             if explores:
-                explored, slots = _explore(
-                    self, slots, requirements, tasks_count, reclaim
-                )
+                explored, slots = _explore(self, slots, requirements, tasks_count)
             choose_some = choose_rack if same_rack else choose_slots
             return explored + _choose_set(
                 unit,
@@ -155,14 +144,12 @@
     return round(math.log(factor) / CLASS_WIDTH)
 
 
-def make_rank(
-    unit, choice, *, expected_seconds, left_seconds, interference=None, reclaim=None
-):
+def make_rank(unit, choice, *, expected_seconds, left_seconds, interference=None):
     """Return the ``rank`` of `packing.choose_slots` for a unit, or None.
 
     The expected slowdown of the unit on a worker is the worker's factor times that of
     ``interference``, and ranks are logarithms of slowdowns. A worker where the unit
-    would end too late comes last, then ``reclaim`` decides, then the slowdown.
+    would end too late comes last.
 
     Parameters
     ----------
@@ -174,8 +161,6 @@
         Time until the unit has to end to meet its objective.
     interference : callable, optional
         Returns the slowdown on a slot because of its neighbours.
-    reclaim : callable, optional
-        Returns the rank of a slot by how soon its room is reclaimed; a whole number.
     """
     speed_rank = _make_speed_rank(
         unit, choice, expected_seconds=expected_seconds, left_seconds=left_seconds
@@ -183,8 +168,6 @@
     terms = [] if speed_rank is None else [speed_rank]
     if interference is not None:
         terms.append(lambda slot: math.log(interference(slot)) / CLASS_WIDTH)
-    if reclaim is not None:
-        terms.append(lambda slot: ZONE_WEIGHT * reclaim(slot))
     if not terms:
         return None
     return lambda slot: sum(term(slot) for term in terms)
@@ -260,7 +243,7 @@
     return [choice.slowdown(slot.worker_id) for slot in slots]
 
 
-def _explore(choice, slots, requirements, tasks_count, rank):
+def _explore(choice, slots, requirements, tasks_count):
     """Return slots of unexplored workers for few tasks each, and the other slots."""
     limit_count = min(
         requirements.tasks_per_worker_limit or EXPLORING_TASKS_COUNT,
@@ -270,7 +253,6 @@
         [slot for slot in slots if choice.is_unexplored(slot)],
         attrs.evolve(requirements, tasks_per_worker_limit=limit_count),
         tasks_count,
-        rank=rank,
     )
     taken = {slot.worker_id for slot in explored}
     return explored, [slot for slot in slots if slot.worker_id not in taken]
--- a/tests/reference_planning.py
+++ b/tests/reference_planning.py
@@ -13,7 +13,6 @@
 from kingcuptrack.state.cluster.recent_usage import DECAY_SECONDS
 from kingcuptrack.state.cluster.run_observations import kind_of
 from kingcuptrack.state.cluster.speed_fit import LOG_LIMIT
-from kingcuptrack.state.cluster.urgent_arrivals import FAST_SECONDS, SLOW_SECONDS
 from kingcuptrack.state.cluster.worker_speeds import COLD_FACTOR
 from kingcuptrack.state.jobs.steps import GUARANTEED_PRIORITY, NO_RESOURCES
 from kingcuptrack.state.planning.packing import Slot, is_eligible
@@ -29,58 +28,6 @@
 )
 from kingcuptrack.state.planning.victims import Reclaim
 
-# Submissions of all jobs that were added to a shard state, recorded by tests that
-# replace its `add_job` by that of `record_added_jobs`.
-_added_submissions = weakref.WeakKeyDictionary()
-
-
-def record_added_jobs(add_job):
-    """Return ``ShardState.add_job`` that records the jobs new to a state."""
-
-    def add_and_record(shard_state, submission, **arguments):
-        job_id = submission.job_id
-        if job_id not in shard_state.jobs and job_id not in shard_state.finished_jobs:
-            _added_submissions.setdefault(shard_state, []).append(submission)
-        return add_job(shard_state, submission, **arguments)
-
-    return add_and_record
-
-
-def count_urgent_arrivals(submissions, at_seconds):
-    """Return the decayed sums of `UrgentArrivals` by queue, counted anew at a time."""
-    sums = {}
-    for submission in submissions:
-        if submission.priority != GUARANTEED_PRIORITY or submission.is_timed:
-            continue
-        age_seconds = at_seconds - submission.accepted_at_seconds
-        slow, fast = (
-            math.exp(-age_seconds / decay) for decay in (SLOW_SECONDS, FAST_SECONDS)
-        )
-        for step in submission.steps:
-            gpus = step.resources.gpus_count * step.task_count
-            if step.is_long_running or not gpus:
-                continue
-            row = sums.setdefault(submission.queue, [0.0] * 4)
-            row[0] += gpus * slow
-            row[1] += gpus * fast
-            row[2] += gpus * gpus * slow
-            row[3] += gpus * step.estimate_seconds * slow
-    return sums
-
-
-def check_urgent_arrivals(arrivals, submissions, at_seconds):
-    """Check kept arrivals against a count of all submissions."""
-    counted = count_urgent_arrivals(submissions, at_seconds)
-    assert set(arrivals.queues) == set(counted)
-    for name, expected in counted.items():
-        queue = arrivals.queues[name]
-        sums = queue.slow, queue.fast, queue.squares, queue.gpu_seconds
-        for kept, value in zip(sums, expected, strict=True):
-            read = kept.read(at_seconds)
-            assert math.isclose(read, value, rel_tol=1e-9, abs_tol=1e-12), name
-    first = min((item.accepted_at_seconds for item in submissions), default=math.inf)
-    assert arrivals.since_seconds == first
-
 
 def count_fitting(slot, requirements, limit_count):
     """Return how many tasks fit on a worker, at most the limit."""
@@ -151,7 +98,6 @@
         runs=[run for victim in stopped for run in victim.runs],
         slots=[by_id[worker_id] for worker_id in chosen],
         cost=cost,
-        due_seconds=max((victim.due_seconds for victim in stopped), default=0.0),
     )
 
 
@@ -320,10 +266,6 @@
     assert shard_state.busy_workers_count == len(used)
     check_neighbours(shard_state)
     check_speeds(shard_state.worker_speeds, now_seconds)
-    if shard_state in _added_submissions:
-        check_urgent_arrivals(
-            shard_state.urgent_arrivals, _added_submissions[shard_state], wall_seconds
-        )
     kept_units = find_ready_units(shard_state, wall_seconds=wall_seconds)
     for job in shard_state.jobs.values():
         job.ready_units = None
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -14,7 +14,6 @@
 from kingcuptrack.coordination import admissions, scheduler
 from kingcuptrack.coordination.admissions import JobRequest
 from kingcuptrack.outcomes import Done, Refused
-from kingcuptrack.state.cluster.shard_state import ShardState
 from kingcuptrack.state.jobs.progress import FINAL_STATES
 from kingcuptrack.state.jobs.steps import NO_RESOURCES, Resources, Step
 from kingcuptrack.state.planning.planner import make_plan
@@ -23,7 +22,6 @@
 from .reference_planning import (
     check_kept_figures,
     check_recent_usage,
-    record_added_jobs,
 )
 from .simulated_policy import HOST, KEY, make_policy
 from .worker_faults import (
@@ -98,12 +96,7 @@
     # virtual time.
     logger.disable("kingcuptrack")
     try:
-        with (
-            mock.patch.object(scheduler, "make_plan", _plan_with_checked_figures),
-            mock.patch.object(
-                ShardState, "add_job", record_added_jobs(ShardState.add_job)
-            ),
-        ):
+        with mock.patch.object(scheduler, "make_plan", _plan_with_checked_figures):
             return run_virtual(
                 _simulate,
                 seed,
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -1,9 +1,6 @@
-"""Runs on leaving workers, with the feature ``sparing``."""
+"""Runs on leaving workers."""
 
-from kingcuptrack.state.planning.departures import (
-    find_runs_past_departure,
-    find_runs_to_migrate,
-)
+from kingcuptrack.state.planning.departures import find_runs_past_departure
 
 from .shard_states import (
     add_job,
@@ -30,41 +27,12 @@
     return shard_state, run
 
 
-def test_a_run_moves_right_after_its_next_checkpoint():
-    """Guards against runs that lose their work though a checkpoint is close."""
-    shard_state, run = _start_on_leaving_worker(
-        has_checkpoints=True, remaining_seconds=8.0
-    )
-    # The first checkpoint is waited for, since its time is unknown.
-    check.assertEqual(find_runs_to_migrate(shard_state, now_seconds=1.0), [])
-    check.assertEqual(find_runs_past_departure(shard_state, now_seconds=1.0), [run])
-    run.note_checkpoint("a", now_seconds=2.0)
-    check.assertEqual(find_runs_to_migrate(shard_state, now_seconds=2.1), [run])
-    # A notice just before the next checkpoint.
-    check.assertEqual(find_runs_to_migrate(shard_state, now_seconds=3.5), [])
-    run.note_checkpoint("b", now_seconds=4.0)
-    check.assertEqual(find_runs_to_migrate(shard_state, now_seconds=4.2), [run])
-
-
-def test_a_run_moves_before_its_worker_leaves():
-    """Guards against runs that wait for a checkpoint until they are lost."""
-    shard_state, run = _start_on_leaving_worker(
-        has_checkpoints=True, remaining_seconds=3.0
-    )
-    check.assertEqual(find_runs_to_migrate(shard_state, now_seconds=2.0), [])
-    check.assertEqual(find_runs_to_migrate(shard_state, now_seconds=2.6), [run])
-    # The next checkpoint would come after the departure.
-    run.note_checkpoint("a", now_seconds=1.0)
-    run.note_checkpoint("b", now_seconds=2.0)
-    check.assertEqual(find_runs_to_migrate(shard_state, now_seconds=2.45), [run])
-
-
-def test_runs_without_checkpoints_move_at_once():
-    """Guards against runs that lose more the longer they stay."""
+def test_runs_that_cannot_end_in_time_move_at_once():
+    """Guards against runs that are lost with their worker."""
     shard_state, run = _start_on_leaving_worker(
         has_checkpoints=False, remaining_seconds=8.0
     )
-    check.assertEqual(find_runs_to_migrate(shard_state, now_seconds=0.1), [run])
+    check.assertEqual(find_runs_past_departure(shard_state, now_seconds=0.1), [run])
 
 
 def test_runs_that_end_in_time_stay():
@@ -72,4 +40,4 @@
     shard_state, _ = _start_on_leaving_worker(
         has_checkpoints=True, remaining_seconds=30.0
     )
-    check.assertEqual(find_runs_to_migrate(shard_state, now_seconds=0.1), [])
+    check.assertEqual(find_runs_past_departure(shard_state, now_seconds=0.1), [])
--- a/tests/test_worker_choice.py
+++ b/tests/test_worker_choice.py
@@ -251,19 +251,3 @@
         )
         reasons[is_known] = [straggler.run.worker_id for straggler in found]
     check.assertEqual(reasons, {True: [], False: ["w0"]})
-
-
-def test_work_avoids_the_reclaim_zone_before_it_chooses_a_speed():
-    """Guards against slow workers that draw work into room about to be reclaimed.
-
-    Only work that would end too late elsewhere goes there. The zone is r0.
-    """
-    both = PlanRules(features=Features(speeds=True, sparing=True))
-    sparing = PlanRules(features=Features(sparing=True))
-    racks = {"r0": ["w0", "w1"], "r1": ["w2", "w3"]}
-    for rules, expected in ((RULES, "w0"), (sparing, "w2"), (both, "w2")):
-        workers = place(make_state(racks, {"w0": 1.6}), "a", make_step(), rules=rules)
-        check.assertEqual(workers, [expected], rules.features)
-    shard_state = make_state(racks, {"w2": 3.0, "w3": 3.0})
-    workers = place(shard_state, "a", make_step(), stretch=1.5, rules=both)
-    check.assertLess(set(workers), {"w0", "w1"})
