--- a/tests/test_plan_timing.py
+++ b/tests/test_plan_timing.py
@@ -73,3 +73,13 @@
     timing.postpone(0.01)
     check.assertFalse(timing.is_due(0.02))
     check.assertTrue(timing.is_due(0.02 + REPLAN_INTERVAL_SECONDS))
+
+
+def test_a_postponed_plan_is_made_when_the_obstacle_is_gone():
+    """Guards against a takeover that waits after the first worker list has arrived."""
+    timing = PlanTiming(shard_state=SimpleNamespace(placement_changes_count=1))
+    timing.postpone(10.0)
+    check.assertFalse(timing.is_due(10.01))
+    timing.resume()
+    check.assertTrue(timing.is_due(10.01))
+    check.assertEqual(timing.wait_seconds(10.01), 0.0)
