--- a/kingcuptrack/state/planning/planner.py
+++ b/kingcuptrack/state/planning/planner.py
@@ -6,10 +6,11 @@
 
 import attrs
 
-from ..jobs.steps import GUARANTEED_PRIORITY, TaskRef
+from ..jobs.steps import GUARANTEED_PRIORITY
 from .backfill import ends_before_reservation, reserve_slots
 from .ordering import slack_seconds
 from .packing import SlotPool
+from .placements import Plan, list_searches, make_group
 from .plan_rules import DEFAULT_RULES, PlanRules
 from .quotas import Quotas, make_quotas
 from .scheduling_units import (
@@ -36,35 +37,6 @@
 )
 
 
-@attrs.frozen(kw_only=True)
-class Placement:
-    """A task, the worker chosen for it, and the reason for the choice.
-
-    ``slowdown`` is the run time expected there, relative to average workers.
-    """
-
-    ref: object
-    worker_id: str
-    run_number: int
-    is_remote: bool
-    reason: str
-    slowdown: float = 1.0
-
-
-@attrs.frozen(kw_only=True)
-class Plan:
-    """Result of a planning pass.
-
-    ``groups`` holds lists of placements that are claimed together. ``stops`` holds
-    (run, reason) of runs to stop, ``waits`` (unit, reason) of units that were not
-    placed, or only in part.
-    """
-
-    groups: list
-    stops: list
-    waits: list
-
-
 def make_plan(shard_state, policy, *, now_seconds, wall_seconds, rules=DEFAULT_RULES):
     """Plan starts and stops.
 
@@ -246,7 +218,7 @@
         for slot, slowdown in zip(chosen, slowdowns, strict=True):
             end_seconds = self.now_seconds + slowdown * self._expected_seconds(unit)
             self.pool.allocate([slot], requirements, end_seconds=end_seconds)
-        self.groups.append(_make_group(unit, chosen, slowdowns))
+        self.groups.append(make_group(unit, chosen, slowdowns))
         self.quotas.add(unit, len(chosen))
         self.shares.add(unit, len(chosen))
         if unit.priority != GUARANTEED_PRIORITY:
@@ -344,7 +316,7 @@
             left_seconds=left_seconds,
             interference=make_interference_term(unit, self.shard_state),
         )
-        searches = _list_searches(unit, self.pool, is_near_only)
+        searches = list_searches(unit, self.pool, is_near_only)
         chosen = []
         for slots, same_rack, _ in searches:
             if self._reservations_count:
@@ -435,7 +407,7 @@
         offers = {}
         is_late = self.worker_choice.make_late_test(*self._times(unit))
         for slots, same_rack, is_remote in with_fast_searches(
-            _list_searches(unit, self.pool, is_near_only), is_late
+            list_searches(unit, self.pool, is_near_only), is_late
         ):
             reclaim = choose_reclaim(
                 slots,
@@ -505,50 +477,3 @@
         self.urgent_gpus[organisation] = (
             self.urgent_gpus.get(organisation, 0) + gpus_count
         )
-
-
-def _list_searches(unit, pool, is_near_only):
-    """Return the searches for room, as (slots, same_rack, is_remote)."""
-    searches = []
-    if unit.step.data_rack:
-        near = pool.by_rack.get(unit.step.data_rack, [])
-        searches.append((near, False, False))
-    if unit.step.same_rack:
-        searches.append((pool.slots, True, False))
-    if not searches:
-        searches.append((pool.slots, False, False))
-    elif not is_near_only:
-        searches.append((pool.slots, False, True))
-    return searches
-
-
-def _make_group(unit, chosen, slowdowns):
-    """Return the placements of a unit; the members of a gang share a run number."""
-    steps = unit.job.progress.occurrences[unit.occurrence]
-    tasks = steps[unit.step_number].tasks
-    gang_number = 1 + max(task.last_run for task in tasks)
-    racks = {slot.rack for slot in chosen}
-    group = []
-    for index, slot, slowdown in zip(unit.indexes, chosen, slowdowns, strict=False):
-        run_number = gang_number if unit.step.is_gang else tasks[index].last_run + 1
-        is_off_data_rack = (
-            bool(unit.step.data_rack) and slot.rack != unit.step.data_rack
-        )
-        is_across_racks = unit.step.same_rack and len(racks) > 1
-        ref = TaskRef(
-            job_id=unit.job.submission.job_id,
-            occurrence=unit.occurrence,
-            step=unit.step_number,
-            index=index,
-        )
-        group.append(
-            Placement(
-                ref=ref,
-                worker_id=slot.worker_id,
-                run_number=run_number,
-                is_remote=is_off_data_rack or is_across_racks,
-                reason=f"free accelerators {slot.free.gpus_count}, rack {slot.rack}",
-                slowdown=slowdown,
-            )
-        )
-    return group
