Follow past runs of a job in the order of their ends

Two claims of a task that were withdrawn at the time at which they were made each counted as the run before the other, so that splitting the time of the job never ended and the leader with it. The new test does not end without the change.

--- a/kingcuptrack/state/cluster/job_phases.py
+++ b/kingcuptrack/state/cluster/job_phases.py
@@ -139,23 +139,19 @@
 
 
 def _find_earlier(job, run):
-    """Return the run whose end let this one start, or None."""
-    own = [
+    """Return the run whose end let this one start, or None.
+
+    Only runs that ended before it are considered, in the order of their ends, so that
+    runs without duration are not followed in a circle.
+    """
+    position = next(index for index, other in enumerate(job.past_runs) if other is run)
+    before = [
         other
-        for other in job.past_runs
-        if other.ref == run.ref
-        and other is not run
-        and other.ended_at_seconds <= run.claimed_at_seconds
+        for other in job.past_runs[:position]
+        if other.ended_at_seconds <= run.claimed_at_seconds
     ]
     steps_before = job.submission.steps[run.ref.step].after
-    candidates = own or [
-        other
-        for other in job.past_runs
-        if not other.cause and other.ref.step in steps_before
-    ]
-    candidates = [
-        other
-        for other in candidates
-        if other.ended_at_seconds <= run.claimed_at_seconds and other is not run
+    candidates = [other for other in before if other.ref == run.ref] or [
+        other for other in before if not other.cause and other.ref.step in steps_before
     ]
     return max(candidates, key=lambda other: other.ended_at_seconds, default=None)
--- a/tests/test_job_phases.py
+++ b/tests/test_job_phases.py
@@ -79,3 +79,19 @@
     shard_state.withdraw(lost, now_seconds=0.5)
     (past_run,) = job.past_runs
     check.assertEqual(past_run.cause, "not_started")
+
+
+def test_runs_without_duration_are_not_followed_in_a_circle():
+    """Guards against a leader that never returns from the line of a finished job.
+
+    Two claims of a task are withdrawn at the time at which they were made.
+    """
+    shard_state = make_shard_state({"r0": ["w0"]})
+    job = add_job(shard_state, "job", make_step(), now_seconds=0.0)
+    for number in (1, 2):
+        lost = shard_state.claim(make_ref("job"), "w0", number=number, now_seconds=1.0)
+        shard_state.withdraw(lost, now_seconds=1.0)
+    run = start_run(shard_state, "job", "w0", number=3, now_seconds=1.0)
+    _end(shard_state, run, "done", now_seconds=5.0)
+    times = split_job_time(job, total_seconds=5.0, now_seconds=5.0)
+    check.assertEqual(times.phases, {str(Phase.ROOM): 1.0, str(Phase.RUN): 4.0})
