--- a/kingcuptrack/platform/lateness.py
+++ b/kingcuptrack/platform/lateness.py
@@ -108,8 +108,8 @@
 def find_cause(line):
     """Return the phase that cost a finished job the most beyond its expected run."""
     losses = dict(line.get("phases", {}))
-    if Phase.RUN in losses:
-        losses[Phase.RUN] -= line.get("expected_run_seconds", 0.0)
+    if Phase.RUNNING in losses:
+        losses[Phase.RUNNING] -= line.get("expected_run_seconds", 0.0)
     return str(max(losses, key=losses.get, default="unknown"))
 
 
@@ -150,7 +150,7 @@
 
 def _loss_seconds(line, cause):
     seconds = line.get("phases", {}).get(cause, 0.0)
-    if cause == Phase.RUN:
+    if cause == Phase.RUNNING:
         seconds -= line.get("expected_run_seconds", 0.0)
     return seconds
 
--- a/kingcuptrack/state/cluster/job_phases.py
+++ b/kingcuptrack/state/cluster/job_phases.py
@@ -19,14 +19,14 @@
     """What a job was waiting for."""
 
     # Accepted, but not yet known to the scheduler that stored its final state.
-    TAKEOVER = "until_known"
+    UNTIL_KNOWN = "until_known"
     # Ready, but not placed.
-    ROOM = "waiting"
+    WAITING = "waiting"
     # Claimed; the claim is being stored or the start order is under way.
-    START = "starting"
-    RUN = "running"
+    STARTING = "starting"
+    RUNNING = "running"
     # Ended at the worker, but not yet stored.
-    STORE = "storing"
+    STORING = "storing"
 
 
 @attrs.frozen(kw_only=True)
@@ -96,7 +96,7 @@
         Its phases add up to ``total_seconds``.
     """
     known_seconds = now_seconds - job.known_since_seconds
-    spans = [(Phase.TAKEOVER, total_seconds - known_seconds)]
+    spans = [(Phase.UNTIL_KNOWN, total_seconds - known_seconds)]
     done = [run for run in job.past_runs if not run.cause]
     last_run = max(done, key=lambda run: run.ended_at_seconds, default=None)
     spans += _trace(job, last_run, until_seconds=now_seconds)
@@ -112,14 +112,14 @@
 def _trace(job, last_run, *, until_seconds):
     """Return (phase, seconds) from when the job was known, in the order of time."""
     if last_run is None:
-        return [(Phase.ROOM, until_seconds - job.known_since_seconds)]
-    spans = [(Phase.STORE, until_seconds - last_run.ended_at_seconds)]
+        return [(Phase.WAITING, until_seconds - job.known_since_seconds)]
+    spans = [(Phase.STORING, until_seconds - last_run.ended_at_seconds)]
     run = last_run
     while run is not None:
         spans += _run_spans(run)
         earlier = _find_earlier(job, run)
         since_seconds = earlier.ended_at_seconds if earlier else job.known_since_seconds
-        spans.append((Phase.ROOM, run.claimed_at_seconds - since_seconds))
+        spans.append((Phase.WAITING, run.claimed_at_seconds - since_seconds))
         run = earlier
     return spans[::-1]
 
@@ -133,8 +133,8 @@
     if started_at_seconds is None:
         started_at_seconds = run.claimed_at_seconds
     return [
-        (Phase.RUN, run.ended_at_seconds - started_at_seconds),
-        (Phase.START, started_at_seconds - run.claimed_at_seconds),
+        (Phase.RUNNING, run.ended_at_seconds - started_at_seconds),
+        (Phase.STARTING, started_at_seconds - run.claimed_at_seconds),
     ]
 
 
--- a/tests/test_job_phases.py
+++ b/tests/test_job_phases.py
@@ -32,11 +32,11 @@
     _end(shard_state, second, "done", now_seconds=17.0)
     times = split_job_time(job, total_seconds=8.25, now_seconds=17.25)
     expected = {
-        Phase.TAKEOVER: 1.0,
-        Phase.ROOM: 1.5,
+        Phase.UNTIL_KNOWN: 1.0,
+        Phase.WAITING: 1.5,
         "rerun_failed": 2.0,
-        Phase.RUN: 3.5,
-        Phase.STORE: 0.25,
+        Phase.RUNNING: 3.5,
+        Phase.STORING: 0.25,
     }
     check.assertEqual(times.phases, {str(key): expected[key] for key in expected})
     check.assertEqual(sum(times.phases.values()), 8.25)
@@ -53,7 +53,7 @@
     _end(shard_state, runs[0], "done", now_seconds=4.0)
     _end(shard_state, runs[1], "done", now_seconds=7.0)
     times = split_job_time(job, total_seconds=7.0, now_seconds=7.0)
-    check.assertEqual(times.phases, {str(Phase.ROOM): 3.0, str(Phase.RUN): 4.0})
+    check.assertEqual(times.phases, {str(Phase.WAITING): 3.0, str(Phase.RUNNING): 4.0})
 
 
 def test_steps_are_followed_back_to_the_first():
@@ -68,7 +68,7 @@
     shard_state.confirm_start(run, clock_seconds=5.0, now_seconds=5.0)
     _end(shard_state, run, "done", now_seconds=9.0, number=2)
     times = split_job_time(job, total_seconds=9.0, now_seconds=9.0)
-    check.assertEqual(times.phases, {str(Phase.RUN): 8.0, str(Phase.ROOM): 1.0})
+    check.assertEqual(times.phases, {str(Phase.RUNNING): 8.0, str(Phase.WAITING): 1.0})
 
 
 def test_a_run_that_never_started_is_named():
@@ -94,4 +94,4 @@
     run = start_run(shard_state, "job", "w0", number=3, now_seconds=1.0)
     _end(shard_state, run, "done", now_seconds=5.0)
     times = split_job_time(job, total_seconds=5.0, now_seconds=5.0)
-    check.assertEqual(times.phases, {str(Phase.ROOM): 1.0, str(Phase.RUN): 4.0})
+    check.assertEqual(times.phases, {str(Phase.WAITING): 1.0, str(Phase.RUNNING): 4.0})
