Log when the configuration can no longer be confirmed, and how long its reads take

An instance that cannot confirm the configuration answers 503 to every caller. The logs told neither when that began nor why: a cut, a store that does not answer and a configuration that is too large for the link of the instance looked alike. The lines now have the size of the configuration and the time of the read, and the metric configuration_read has the latter.

--- a/emulator/cluster.py
+++ b/emulator/cluster.py
@@ -262,6 +262,7 @@
             policy=policy,
             closed_data_centres=frozenset(closed_data_centres),
             store_version=outcome.value.version,
+            size_bytes=sum(len(row.value) for row in outcome.value.rows),
         )
         return Done(value=read)
 
--- a/kingcuptrack/coordination/instance.py
+++ b/kingcuptrack/coordination/instance.py
@@ -53,6 +53,7 @@
             operators=environment.operators,
             clocks=environment.clocks,
             policy_age_limit_seconds=settings.policy_age_limit_seconds,
+            metrics=metrics,
         )
         overload = None
         if rules.features.admission:
--- a/kingcuptrack/coordination/policy_watch.py
+++ b/kingcuptrack/coordination/policy_watch.py
@@ -30,7 +30,8 @@
     ``policy_age_limit_seconds`` is the time after the last confirming read for which
     requests may be answered by the configuration. ``closed_data_centres`` are those
     that operators have taken out of service. ``store_version`` is the newest version of
-    the store that was read: what is written later has a higher one.
+    the store that was read: what is written later has a higher one. ``metrics`` takes
+    the durations of reads, unless it is None.
     """
 
     operators: object
@@ -39,6 +40,9 @@
     policy: ClusterPolicy | None = None
     closed_data_centres: frozenset[str] = frozenset()
     store_version: int = 0
+    metrics: object = None
+    _size_bytes: int = attrs.field(default=0, init=False)
+    _is_confirmed: bool = attrs.field(default=False, init=False)
     _confirmed_at_seconds: float = attrs.field(default=float("-inf"), init=False)
     is_reachable: bool = attrs.field(default=True, init=False)
     # (time of replacement, configuration), oldest first.
@@ -79,16 +83,22 @@
         """Read the operators' rows once; returns whether the store answered."""
         started_at_seconds = self.clocks.boottime()
         outcome = await self.operators.read(timeout_seconds=READ_TIMEOUT_SECONDS)
+        read_seconds = self.clocks.boottime() - started_at_seconds
+        if self.metrics is not None:
+            self.metrics.observe("configuration_read", read_seconds)
         if not isinstance(outcome, Done):
             self._note_reachable(False, reason=outcome.message)
+            self._note_confirmed(read_seconds)
             return False
         self._note_reachable(True)
         self._confirmed_at_seconds = max(self._confirmed_at_seconds, started_at_seconds)
         read = outcome.value
         self.store_version = max(self.store_version, read.store_version)
+        self._size_bytes = read.size_bytes
         if read.policy is not None:
             self.apply(read.policy)
         self._set_closed_data_centres(read.closed_data_centres)
+        self._note_confirmed(read_seconds)
         return True
 
     def apply(self, policy):
@@ -101,6 +111,7 @@
             version=policy.version,
             previous=self.policy.version if self.policy else None,
             age_seconds=round(self.age_seconds(), 3) if self.policy else None,
+            size_bytes=self._size_bytes,
         )
         for finding in find_problems(policy)[:LOGGED_FINDINGS_LIMIT_COUNT]:
             log_event("configuration", outcome="finding", reason=str(finding))
@@ -122,6 +133,20 @@
         """Record that a data centre is out of service, as a failed condition showed."""
         self._set_closed_data_centres(self.closed_data_centres | {data_centre})
 
+    def _note_confirmed(self, read_seconds):
+        """Log when callers can no longer be answered by the configuration, or again."""
+        is_confirmed = self.is_policy_fresh()
+        if is_confirmed != self._is_confirmed:
+            self._is_confirmed = is_confirmed
+            log_event(
+                "configuration",
+                outcome="confirmed" if is_confirmed else "unconfirmed",
+                version=self.policy.version if self.policy else None,
+                age_seconds=round(self.age_seconds(), 3),
+                size_bytes=self._size_bytes,
+                read_seconds=round(read_seconds, 3),
+            )
+
     def _note_reachable(self, is_reachable, reason=""):
         if is_reachable != self.is_reachable:
             self.is_reachable = is_reachable
--- a/kingcuptrack/coordination/ports.py
+++ b/kingcuptrack/coordination/ports.py
@@ -157,12 +157,14 @@
 class PolicyRead:
     """The configuration and the data centres that are out of service, as read.
 
-    ``store_version`` is the version of the store that was read.
+    ``store_version`` is the version of the store that was read, ``size_bytes`` the size
+    of the rows.
     """
 
     policy: object
     closed_data_centres: frozenset[str]
     store_version: int = 0
+    size_bytes: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/kingcuptrack/platform/operators.py
+++ b/kingcuptrack/platform/operators.py
@@ -102,6 +102,7 @@
             policy=policy,
             closed_data_centres=frozenset(closed),
             store_version=outcome.value.version,
+            size_bytes=sum(len(row.value) for row in outcome.value.rows),
         )
         return Done(value=policy_read)
 
