--- a/kingcuptrack/coordination/ports.py
+++ b/kingcuptrack/coordination/ports.py
@@ -89,11 +89,15 @@
 class Store:
     """Calls to the store; each is awaited and returns an outcome.
 
-    ``read(table, part, first, last, timeout_seconds)`` returns `RowsRead` with the
-    keys from ``first``, inclusive, to ``last``, exclusive; an empty key is no bound.
+    ``read(table, part, first, last, timeout_seconds, note_begun=None)`` returns
+    `RowsRead` with the keys from ``first``, inclusive, to ``last``, exclusive; an empty
+    key is no bound. ``timeout_seconds`` is the longest time in which nothing of the
+    answer arrives; the transfer of a large answer may take longer. ``note_begun()`` is
+    called when the answer begins to arrive.
     ``transact(transaction, timeout_seconds)`` returns the new version.
-    ``follow(table, after_version, wait_seconds)`` returns `RowsRead` with the changes
-    of the feed after a version. ``limits`` are the `StoreLimits`.
+    ``follow(table, after_version, wait_seconds, timeout_seconds=None)`` returns
+    `RowsRead` with the changes of the feed after a version; its timeout counts beyond
+    the wait. ``limits`` are the `StoreLimits`.
     """
 
     read: Callable
--- a/kingcuptrack/platform/store.py
+++ b/kingcuptrack/platform/store.py
@@ -20,7 +20,13 @@
 from ..logs import log_event
 from ..outcomes import Done, Refused, Unknown
 
-# Part of the timeout of a feed request beyond the wait that it asks for.
+# Longest transfer of an answer that keeps arriving. The rows that operators write have
+# no limit, and instances have links of a few Mbit/s.
+TRANSFER_LIMIT_SECONDS = 15.0
+# Many times the usual answer time; a connection that is silent for longer may be
+# broken.
+SUSPICION_SECONDS = 0.8
+# Default timeout of a feed request beyond the wait that it asks for.
 FEED_TIMEOUT_MARGIN_SECONDS = 1.5
 # Largest size of the table, partition and key of a row.
 KEY_LIMIT_BYTES = 200
@@ -68,15 +74,13 @@
         transaction_bytes=(CALL_LIMIT_BYTES - CALL_NAMES_BYTES) * 3 // 4,
     )
 
-    async def call(method, path, *, timeout_seconds, body=None):
-        outcome = await client.request(
-            method, get_base_url() + path, timeout_seconds=timeout_seconds, body=body
-        )
+    async def call(method, path, **options):
+        outcome = await client.request(method, get_base_url() + path, **options)
         if not isinstance(outcome, Done):
             return outcome
         return _decode_response(outcome.value)
 
-    async def read(*, table, part, first, last, timeout_seconds):
+    async def read(*, table, part, first, last, timeout_seconds, note_begun=None):
         rows, version, start = [], None, first
         while True:
             query = {"table": table, "part": part, "from": start, "to": last}
@@ -84,7 +88,10 @@
             outcome = await call(
                 "GET",
                 f"/-/rows-get?{urlencode({'part': '', **query})}",
-                timeout_seconds=timeout_seconds,
+                timeout_seconds=TRANSFER_LIMIT_SECONDS,
+                silence_seconds=timeout_seconds,
+                suspicion_seconds=SUSPICION_SECONDS,
+                note_begun=note_begun,
             )
             if not isinstance(outcome, Done):
                 return outcome
@@ -116,7 +123,9 @@
             return Done(value=outcome.value.ver)
         return outcome
 
-    async def follow(*, table, after_version, wait_seconds):
+    async def follow(*, table, after_version, wait_seconds, timeout_seconds=None):
+        if timeout_seconds is None:
+            timeout_seconds = FEED_TIMEOUT_MARGIN_SECONDS
         query = urlencode(
             {
                 "table": table,
@@ -127,7 +136,8 @@
         outcome = await call(
             "GET",
             f"/-/rows-feed?{query}",
-            timeout_seconds=wait_seconds + FEED_TIMEOUT_MARGIN_SECONDS,
+            timeout_seconds=wait_seconds + TRANSFER_LIMIT_SECONDS,
+            silence_seconds=wait_seconds + timeout_seconds,
         )
         if not isinstance(outcome, Done):
             return outcome
--- a/kingcuptrack/transport/http_client.py
+++ b/kingcuptrack/transport/http_client.py
@@ -1,6 +1,7 @@
 """HTTP requests with a deadline and a typed outcome."""
 
 import json
+import math
 
 import anyio
 import attrs
@@ -36,17 +37,31 @@
     """HTTP client with a connection pool; ``headers`` are sent with every request.
 
     After a timeout the pool is replaced, because its other connections may be broken
-    as well, and each would cost one more timeout.
+    as well, and each would cost one more timeout. So it is for the next request if one
+    that is still open has been silent for its ``suspicion_seconds``.
     """
 
     def __init__(self, *, connections_count, headers=None):
         self._connections_count = connections_count
         self._headers = {"content-type": "application/json", **(headers or {})}
         self._pool = self._make_pool()
-        self._open_requests_counts = {}
+        # Times from which the open requests cast doubt on their pool, by pool and
+        # number of the request.
+        self._open_requests = {self._pool: {}}
+        self._requests_count = 0
 
     async def request(
-        self, method, url, *, timeout_seconds, body=None, content=None, headers=None
+        self,
+        method,
+        url,
+        *,
+        timeout_seconds,
+        silence_seconds=None,
+        suspicion_seconds=None,
+        note_begun=None,
+        body=None,
+        content=None,
+        headers=None,
     ):
         """Send a request.
 
@@ -55,6 +70,12 @@
         method, url : str
         timeout_seconds : float
             Bound of the whole exchange.
+        silence_seconds : float, optional
+            Longest time without any part of the answer; by default ``timeout_seconds``.
+        suspicion_seconds : float, optional
+            Time without an answer after which other requests use new connections.
+        note_begun : callable, optional
+            Is called when the answer begins to arrive.
         body : object, optional
             Sent as JSON.
         content : bytes, optional
@@ -75,8 +96,9 @@
             parsed_url = httpcore.URL(url)
         except (ValueError, TypeError) as error:
             return Refused(code="unreachable", message=f"{method} {url!r}: {error}")
-        pool = self._pool
-        self._open_requests_counts[pool] = self._open_requests_counts.get(pool, 0) + 1
+        if silence_seconds is None:
+            silence_seconds = timeout_seconds
+        pool, number = self._open_request(suspicion_seconds)
         try:
             with anyio.fail_after(timeout_seconds):
                 response = await pool.request(
@@ -84,23 +106,23 @@
                     parsed_url,
                     headers={**self._headers, **headers} if headers else self._headers,
                     content=content,
-                    extensions={
-                        "timeout": {
-                            "connect": CONNECT_FRACTION * timeout_seconds,
-                            "pool": CONNECT_FRACTION * timeout_seconds,
-                        }
-                    },
+                    extensions=_make_extensions(
+                        connect_seconds=CONNECT_FRACTION
+                        * min(timeout_seconds, silence_seconds),
+                        silence_seconds=silence_seconds,
+                        note_begun=note_begun,
+                    ),
                 )
         except NOT_SENT_ERRORS as error:
             return Refused(code="unreachable", message=f"{method} {url}: {error!r}")
         except (TimeoutError, OSError, httpcore.TimeoutException) as error:
             if pool is self._pool:
-                self._pool = self._make_pool()
+                self._replace_pool()
             return Unknown(message=f"{method} {url}: {error!r}")
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
             return Unknown(message=f"{method} {url}: {error!r}")
         finally:
-            await self._release_pool(pool)
+            await self._close_request(pool, number)
         return Done(value=HttpResponse(status=response.status, body=response.content))
 
     async def close(self):
@@ -114,15 +136,48 @@
             keepalive_expiry=30.0,
         )
 
-    async def _release_pool(self, pool):
+    def _open_request(self, suspicion_seconds):
+        """Return the pool and the number of a request that is about to be sent."""
+        now_seconds = anyio.current_time()
+        if any(at <= now_seconds for at in self._open_requests[self._pool].values()):
+            self._replace_pool()
+        self._requests_count += 1
+        suspicious_at_seconds = math.inf
+        if suspicion_seconds is not None:
+            suspicious_at_seconds = now_seconds + suspicion_seconds
+        self._open_requests[self._pool][self._requests_count] = suspicious_at_seconds
+        return self._pool, self._requests_count
+
+    def _replace_pool(self):
+        self._pool = self._make_pool()
+        self._open_requests[self._pool] = {}
+
+    async def _close_request(self, pool, number):
         """End a request on a pool; closes a replaced pool after its last request."""
-        self._open_requests_counts[pool] -= 1
-        if self._open_requests_counts[pool]:
+        open_requests = self._open_requests[pool]
+        del open_requests[number]
+        if open_requests or pool is self._pool:
             return
-        del self._open_requests_counts[pool]
-        if pool is not self._pool:
-            with anyio.CancelScope(shield=True):
-                await pool.aclose()
+        del self._open_requests[pool]
+        with anyio.CancelScope(shield=True):
+            await pool.aclose()
+
+
+def _make_extensions(*, connect_seconds, silence_seconds, note_begun):
+    """Return the options of httpcore for one request."""
+    timeout = {
+        "connect": connect_seconds,
+        "pool": connect_seconds,
+        "read": silence_seconds,
+    }
+    if note_begun is None:
+        return {"timeout": timeout}
+
+    async def trace(event, _):
+        if event == "http11.receive_response_headers.complete":
+            note_begun()
+
+    return {"timeout": timeout, "trace": trace}
 
 
 def decode_body(response, parse):
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -66,3 +66,88 @@
     """Guards against an error of another type, which ends the caller's loop."""
     for host, port in (("127.0.0.1", 70000), ("127.0.0.1", "x"), ("h\u00f4te", 80)):
         check.assertEqual(request(port, host=host).code, "unreachable")
+
+
+async def request_slow_answer(*, pieces_count, pause_seconds, **options):
+    """Request an answer that arrives in pieces; return the outcome."""
+
+    async def answer(stream):
+        async with stream:
+            await stream.receive()
+            head = f"HTTP/1.1 200 OK\r\ncontent-length: {pieces_count}\r\n\r\n"
+            await stream.send(head.encode())
+            for _ in range(pieces_count):
+                await anyio.sleep(pause_seconds)
+                await stream.send(b"x")
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    client = HttpClient(connections_count=1)
+    async with listener, anyio.create_task_group() as task_group:
+        task_group.start_soon(listener.serve, answer)
+        try:
+            url = f"http://127.0.0.1:{port}/"
+            return await client.request("GET", url, **options)
+        finally:
+            await client.close()
+            task_group.cancel_scope.cancel()
+
+
+def test_large_answer_may_take_longer_than_a_silence():
+    """Guards against a large answer over a narrow link that is never received."""
+    begun = []
+    options = {
+        "timeout_seconds": 5.0,
+        "silence_seconds": TIMEOUT_SECONDS,
+        "note_begun": lambda: begun.append(True),
+    }
+
+    async def run(pieces_count, pause_seconds):
+        return await request_slow_answer(
+            pieces_count=pieces_count, pause_seconds=pause_seconds, **options
+        )
+
+    outcome = anyio.run(run, 8, TIMEOUT_SECONDS / 4)
+    check.assertEqual(outcome.value.body, b"x" * 8)
+    check.assertEqual(begun, [True])
+    check.assertIsInstance(anyio.run(run, 1, 4 * TIMEOUT_SECONDS), Unknown)
+
+
+def test_requests_avoid_the_connections_of_a_silent_request():
+    """Guards against one timeout for each connection that was broken at once."""
+    connections_count = 0
+
+    async def answer(stream):
+        nonlocal connections_count
+        connections_count += 1
+        is_silent = connections_count == 1
+        async with stream:
+            while True:
+                await stream.receive()
+                if is_silent:
+                    await anyio.sleep_forever()
+                await stream.send(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+
+    async def run():
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        client = HttpClient(connections_count=1)
+
+        async def request():
+            return await client.request(
+                "GET",
+                f"http://127.0.0.1:{port}/",
+                timeout_seconds=4 * TIMEOUT_SECONDS,
+                suspicion_seconds=TIMEOUT_SECONDS / 2,
+            )
+
+        async with listener, anyio.create_task_group() as task_group:
+            task_group.start_soon(listener.serve, answer)
+            task_group.start_soon(request)
+            await anyio.sleep(TIMEOUT_SECONDS)
+            outcome = await request()
+            task_group.cancel_scope.cancel()
+            await client.close()
+            return outcome
+
+    check.assertIsInstance(anyio.run(run), Done)
