--- a/emulator/cluster.py
+++ b/emulator/cluster.py
@@ -52,11 +52,14 @@
 
     ``instance`` and ``scope`` are None while it does not run; ``resumed`` is set when
     its suspended calls may continue, and None unless it is frozen. ``cores`` is the
-    processor time that it can use, 0 if unknown.
+    processor time that it can use, 0 if unknown. ``link_bytes_per_second`` is the rate
+    at which it receives answers of the store, None for no limit; it takes effect when
+    the instance is started.
     """
 
     name: str
     cores: float = 0.0
+    link_bytes_per_second: float | None = None
     instance: Instance | None = None
     scope: anyio.CancelScope | None = None
     resumed: anyio.Event | None = None
@@ -89,6 +92,8 @@
     worker_factors : sequence of float
         Run times on the workers relative to those of the jobs; 1 for further workers.
     store_limits : StoreLimits, optional
+    link_bytes_per_second : float, optional
+        Rate at which each instance receives answers of the store; no limit if None.
     """
 
     def __init__(
@@ -106,6 +111,7 @@
         call_seconds=0.0,
         worker_factors=(),
         store_limits=None,
+        link_bytes_per_second=None,
     ):
         self._rules = rules
         self._call_seconds = call_seconds
@@ -121,7 +127,10 @@
             self.fleet.workers.values(), worker_factors, strict=False
         ):
             worker.slow_factor = factor
-        self.members = [Member(name=f"i{n}") for n in range(instances_count)]
+        self.members = [
+            Member(name=f"i{n}", link_bytes_per_second=link_bytes_per_second)
+            for n in range(instances_count)
+        ]
         for member, cores in zip(self.members, instance_cores, strict=False):
             member.cores = cores
 
@@ -205,7 +214,9 @@
 
             return call if self._call_seconds else function
 
-        store = self.store.port(member.name)
+        store = self.store.port(
+            member.name, link_bytes_per_second=member.link_bytes_per_second
+        )
         store = Store(
             read=suspend_while_frozen(store.read),
             transact=suspend_while_frozen(store.transact),
