Follow the changes of a large configuration instead of reading it again

Cause: each instance read all rows of the operators every 0.7 s, and its permission to answer lapses 3.5 s after the last read that succeeded. The time of such a read grows with the configuration; 596,356 bytes take 1.34 s in the median there, and the timeout was 0.8 s.

Change: beyond 64 KiB, an instance asks the feed for changes, which costs the same whatever the size; an answer confirms what was in force a second before, since a feed can be silent for that long. A read that is slow is hedged and not given up after 0.8 s, and the store still counts as unreachable once it has been silent for that long.

--- a/emulator/cluster.py
+++ b/emulator/cluster.py
@@ -8,16 +8,14 @@
 import msgspec
 
 from kingcuptrack.coordination.instance import Instance, InstanceSettings
+from kingcuptrack.coordination.operator_rows import make_operators
 from kingcuptrack.coordination.ports import (
     Clocks,
     Environment,
-    Operators,
-    PolicyRead,
     RowKey,
     Store,
     Workers,
 )
-from kingcuptrack.outcomes import Done
 from kingcuptrack.prometheus_metrics import PrometheusMetrics
 from kingcuptrack.state.cluster.cluster_policy import ClusterPolicy
 from kingcuptrack.state.planning.plan_rules import DEFAULT_RULES
@@ -33,11 +31,12 @@
 WALL_CLOCK_START_SECONDS = 1_700_000_000.0
 POLICY_AGE_LIMIT_SECONDS = 3.5
 POLICY_KEY = RowKey(table="operators", part="", key="policy")
+CLOSURE_PREFIX = "closed/"
 
 
 def closure_key(data_centre):
     """Return the key of the row whose existence takes a data centre out of service."""
-    return RowKey(table="operators", part="", key=f"closed/{data_centre}")
+    return RowKey(table="operators", part="", key=CLOSURE_PREFIX + data_centre)
 
 
 def decode_policy(row):
@@ -235,7 +234,12 @@
         return Environment(
             store=store,
             workers=workers,
-            operators=_make_operators(store),
+            operators=make_operators(
+                store,
+                policy_key=POLICY_KEY,
+                closure_prefix=CLOSURE_PREFIX,
+                decode_policy=decode_policy,
+            ),
             clocks=Clocks(
                 steady=anyio.current_time,
                 boottime=anyio.current_time,
@@ -250,36 +254,3 @@
     def _can_reach_store(self, name):
         faults = self.store.faults
         return not faults.down and name not in faults.cut_callers
-
-
-def _make_operators(store):
-    async def read(*, timeout_seconds):
-        outcome = await store.read(
-            table=POLICY_KEY.table,
-            part="",
-            first="",
-            last="",
-            timeout_seconds=timeout_seconds,
-        )
-        if not isinstance(outcome, Done):
-            return outcome
-        policy, closed_data_centres = None, set()
-        for row in outcome.value.rows:
-            if row.key == POLICY_KEY:
-                policy = decode_policy(row)
-            else:
-                closed_data_centres.add(row.key.key.partition("/")[2])
-        read = PolicyRead(
-            policy=policy,
-            closed_data_centres=frozenset(closed_data_centres),
-            store_version=outcome.value.version,
-            size_bytes=sum(len(row.value) for row in outcome.value.rows),
-        )
-        return Done(value=read)
-
-    return Operators(
-        read=read,
-        policy_key=POLICY_KEY,
-        decode_policy=decode_policy,
-        closure_key=closure_key,
-    )
--- a/emulator/rows.py
+++ b/emulator/rows.py
@@ -131,7 +131,9 @@
                 return await deliver(outcome, begin_by_seconds=end_by_seconds)
             return NO_ANSWER
 
-        async def follow(*, table, after_version, wait_seconds, timeout_seconds=None):
+        async def follow(
+            *, table, after_version, wait_seconds, timeout_seconds=None, note_begun=None
+        ):
             if timeout_seconds is None:
                 timeout_seconds = FEED_TIMEOUT_SECONDS
             end_seconds = anyio.current_time() + wait_seconds
@@ -157,7 +159,9 @@
                 await anyio.sleep_until(min(answer_seconds, begin_by_seconds))
                 if answer_seconds > begin_by_seconds:
                     return NO_ANSWER
-            return await deliver(outcome, begin_by_seconds=begin_by_seconds)
+            return await deliver(
+                outcome, begin_by_seconds=begin_by_seconds, note_begun=note_begun
+            )
 
         return Store(read=read, transact=transact, follow=follow, limits=self.limits)
 
--- a/kingcuptrack/coordination/policy_watch.py
+++ b/kingcuptrack/coordination/policy_watch.py
@@ -1,20 +1,34 @@
 """Reads the configuration periodically and tells whether it is recent enough to use."""
 
+import functools
+
 import anyio
 import attrs
 
 from ..logs import log_event
-from ..outcomes import Done
+from ..outcomes import Done, Refused
 from ..state.cluster.cluster_policy import ClusterPolicy
 from ..state.cluster.policy_check import find_problems
+from .hedging import hedge
+from .ports import HISTORY_LOST
+from .timeouts import AdaptiveTimeout
 
 # Well below the time limit for applying a new configuration, so that one lost read
 # does not exceed it.
 READ_INTERVAL_SECONDS = 0.7
-# Many times the usual answer time.
-READ_TIMEOUT_SECONDS = 0.8
-# Pause after a read without an answer.
+# Bounds of the time after which a read without an answer is repeated. Until then the
+# store counts as reachable.
+SHORTEST_PATIENCE_SECONDS = 0.8
+LONGEST_PATIENCE_SECONDS = 2.5
+# Time after which reads without an answer are given up.
+READ_LIMIT_SECONDS = 3.0
+# Pause after a read that was slow or without an answer.
 RETRY_SECONDS = 0.15
+# Larger configurations are not read again until the feed tells that they have changed:
+# the link of an instance may carry less than one of them in an interval.
+WHOLE_READ_LIMIT_BYTES = 65_536
+# Time for which a feed may tell no changes before the store refuses it.
+FEED_LAG_SECONDS = 1.0
 # Findings of a configuration that are logged when it is applied; the check command
 # shows all of them.
 LOGGED_FINDINGS_LIMIT_COUNT = 5
@@ -41,13 +55,34 @@
     closed_data_centres: frozenset[str] = frozenset()
     store_version: int = 0
     metrics: object = None
-    _size_bytes: int = attrs.field(default=0, init=False)
-    _is_confirmed: bool = attrs.field(default=False, init=False)
     _confirmed_at_seconds: float = attrs.field(default=float("-inf"), init=False)
-    is_reachable: bool = attrs.field(default=True, init=False)
+    _is_confirmed: bool = attrs.field(default=False, init=False)
+    _is_answered: bool = attrs.field(default=True, init=False)
+    # Start of the read under way, on ``Clocks.boottime``; None if there is none.
+    _read_since_seconds: float | None = attrs.field(default=None, init=False)
+    _patience: AdaptiveTimeout = attrs.field(
+        factory=lambda: AdaptiveTimeout(
+            shortest_seconds=SHORTEST_PATIENCE_SECONDS,
+            longest_seconds=LONGEST_PATIENCE_SECONDS,
+        ),
+        init=False,
+    )
+    _size_bytes: int = attrs.field(default=0, init=False)
+    # What the latest read told, and the version of the store that it told of. A feed
+    # tells later changes only, so that what is noted between reads does not count.
+    _read_closed_data_centres: frozenset = attrs.field(default=frozenset(), init=False)
+    _known_version: int = attrs.field(default=0, init=False)
     # (time of replacement, configuration), oldest first.
     _replaced: list = attrs.field(factory=list, init=False)
 
+    @property
+    def is_reachable(self):
+        """Whether the store has answered the latest read, or may still do so."""
+        if not self._is_answered or self._read_since_seconds is None:
+            return self._is_answered
+        waited_seconds = self.clocks.boottime() - self._read_since_seconds
+        return waited_seconds <= self._patience.seconds
+
     def age_seconds(self):
         """Return the time since the last confirming read began."""
         return self.clocks.boottime() - self._confirmed_at_seconds
@@ -76,30 +111,68 @@
     async def run(self):
         """Read the operators' rows periodically until cancelled."""
         while True:
+            started_at_seconds = self.clocks.steady()
             is_read = await self.refresh()
-            await anyio.sleep(READ_INTERVAL_SECONDS if is_read else RETRY_SECONDS)
+            read_seconds = self.clocks.steady() - started_at_seconds
+            # What a slow read confirms is old already.
+            is_pause = is_read and read_seconds < READ_INTERVAL_SECONDS / 2
+            await anyio.sleep(READ_INTERVAL_SECONDS if is_pause else RETRY_SECONDS)
 
     async def refresh(self):
         """Read the operators' rows once; returns whether the store answered."""
         started_at_seconds = self.clocks.boottime()
-        outcome = await self.operators.read(timeout_seconds=READ_TIMEOUT_SECONDS)
+        self._read_since_seconds = started_at_seconds
+        try:
+            is_whole, outcome = await self._read()
+        finally:
+            self._read_since_seconds = None
         read_seconds = self.clocks.boottime() - started_at_seconds
         if self.metrics is not None:
             self.metrics.observe("configuration_read", read_seconds)
-        if not isinstance(outcome, Done):
-            self._note_reachable(False, reason=outcome.message)
-            self._note_confirmed(read_seconds)
-            return False
-        self._note_reachable(True)
-        self._confirmed_at_seconds = max(self._confirmed_at_seconds, started_at_seconds)
-        read = outcome.value
+        self._note_answered(isinstance(outcome, Done), outcome)
+        if isinstance(outcome, Done):
+            self._apply_read(
+                outcome.value,
+                confirmed_at_seconds=started_at_seconds
+                - (0.0 if is_whole else FEED_LAG_SECONDS),
+            )
+            if outcome.value.size_bytes <= WHOLE_READ_LIMIT_BYTES:
+                self._patience.note_answer(read_seconds)
+        self._note_confirmed(read_seconds)
+        return isinstance(outcome, Done)
+
+    async def _read(self):
+        """Return whether all rows were read, or only their changes, and the outcome."""
+        if self._size_bytes > WHOLE_READ_LIMIT_BYTES:
+            follow = functools.partial(
+                self.operators.follow,
+                after_version=self._known_version,
+                closed_data_centres=self._read_closed_data_centres,
+            )
+            outcome = await self._hedge(follow)
+            if not isinstance(outcome, Refused) or outcome.code != HISTORY_LOST:
+                return False, outcome
+            log_event("feed", outcome="history_lost", version=self._known_version)
+        return True, await self._hedge(self.operators.read)
+
+    async def _hedge(self, read):
+        return await hedge(
+            read,
+            delay_seconds=self._patience.seconds,
+            limit_seconds=READ_LIMIT_SECONDS,
+        )
+
+    def _apply_read(self, read, *, confirmed_at_seconds):
+        self._confirmed_at_seconds = max(
+            self._confirmed_at_seconds, confirmed_at_seconds
+        )
+        self._known_version = read.store_version
+        self._read_closed_data_centres = read.closed_data_centres
         self.store_version = max(self.store_version, read.store_version)
-        self._size_bytes = read.size_bytes
+        self._size_bytes = read.size_bytes or self._size_bytes
         if read.policy is not None:
             self.apply(read.policy)
         self._set_closed_data_centres(read.closed_data_centres)
-        self._note_confirmed(read_seconds)
-        return True
 
     def apply(self, policy):
         """Use a configuration unless one at least as new is already in use."""
@@ -147,13 +220,13 @@
                 read_seconds=round(read_seconds, 3),
             )
 
-    def _note_reachable(self, is_reachable, reason=""):
-        if is_reachable != self.is_reachable:
-            self.is_reachable = is_reachable
+    def _note_answered(self, is_answered, outcome):
+        if is_answered != self._is_answered:
+            self._is_answered = is_answered
             log_event(
                 "dependency",
                 dependency="store",
-                outcome="regained" if is_reachable else "lost",
-                reason=reason,
+                outcome="regained" if is_answered else "lost",
+                reason="" if is_answered else outcome.message,
                 configuration_age_seconds=round(self.age_seconds(), 3),
             )
--- a/kingcuptrack/coordination/ports.py
+++ b/kingcuptrack/coordination/ports.py
@@ -95,9 +95,9 @@
     answer arrives; the transfer of a large answer may take longer. ``note_begun()`` is
     called when the answer begins to arrive.
     ``transact(transaction, timeout_seconds)`` returns the new version.
-    ``follow(table, after_version, wait_seconds, timeout_seconds=None)`` returns
-    `RowsRead` with the changes of the feed after a version; its timeout counts beyond
-    the wait. ``limits`` are the `StoreLimits`.
+    ``follow(table, after_version, wait_seconds, timeout_seconds=None,
+    note_begun=None)`` returns `RowsRead` with the changes of the feed after a version;
+    its timeout counts beyond the wait. ``limits`` are the `StoreLimits`.
     """
 
     read: Callable
@@ -161,8 +161,9 @@
 class PolicyRead:
     """The configuration and the data centres that are out of service, as read.
 
-    ``store_version`` is the version of the store that was read, ``size_bytes`` the size
-    of the rows.
+    ``policy`` is None if it was not read or cannot be used. ``store_version`` is the
+    version of the store that was read, ``size_bytes`` the size of the configuration, 0
+    if it was not read.
     """
 
     policy: object
@@ -175,13 +176,18 @@
 class Operators:
     """Access to the rows that operators write.
 
-    ``read(timeout_seconds)`` is awaited and returns a `PolicyRead`.
+    ``read(timeout_seconds, note_begun=None)`` is awaited and returns a `PolicyRead`.
+    ``follow(after_version, closed_data_centres, timeout_seconds, note_begun=None)``
+    returns one with the changes after a version of the store, when the given data
+    centres were closed. A feed may tell no changes for a second before it is refused,
+    so that it confirms what was in force that long ago.
     ``policy_key`` is the key of the configuration row, which ``decode_policy(row)``
     decodes. ``closure_key(data_centre)`` returns the key of the row whose existence
     takes a data centre out of service.
     """
 
     read: Callable
+    follow: Callable
     policy_key: RowKey
     decode_policy: Callable
     closure_key: Callable
--- a/kingcuptrack/platform/operators.py
+++ b/kingcuptrack/platform/operators.py
@@ -2,10 +2,10 @@
 
 import attrs
 
-from ..coordination.ports import Operators, PolicyRead, RowKey
+from ..coordination import operator_rows
+from ..coordination.ports import RowKey
 from ..decoding import DecodingError, decode_json
 from ..logs import log_event
-from ..outcomes import Done
 from ..state.cluster.cluster_policy import ClusterPolicy, Organisation, Queue
 from ..state.jobs.steps import NO_RESOURCES, Resources
 
@@ -75,48 +75,17 @@
 
 def make_operators(store):
     """Return the `Operators` port over a `Store`."""
-    policy_key = CONFIG_ROW
-    # The row is read about once a second and has hundreds of routes on large
-    # deployments, so that it is decoded only when its version changes.
-    decoded = {"row_version": 0, "policy": None}
-
-    def decode_once(row):
-        if row.version != decoded["row_version"]:
-            decoded["policy"] = decode_policy(row)
-            decoded["row_version"] = row.version
-        return decoded["policy"]
-
-    async def read(*, timeout_seconds):
-        outcome = await store.read(
-            table=_TABLE, part="", first="", last="", timeout_seconds=timeout_seconds
-        )
-        if not isinstance(outcome, Done):
-            return outcome
-        policy, closed = None, set()
-        for row in outcome.value.rows:
-            if row.key == policy_key:
-                policy = decode_once(row)
-            elif row.key.key.startswith(_EVACUATE_PREFIX):
-                closed.add(row.key.key.removeprefix(_EVACUATE_PREFIX))
-        policy_read = PolicyRead(
-            policy=policy,
-            closed_data_centres=frozenset(closed),
-            store_version=outcome.value.version,
-            size_bytes=sum(len(row.value) for row in outcome.value.rows),
-        )
-        return Done(value=policy_read)
-
-    return Operators(
-        read=read,
-        policy_key=policy_key,
+    return operator_rows.make_operators(
+        store,
+        policy_key=CONFIG_ROW,
+        closure_prefix=_EVACUATE_PREFIX,
         decode_policy=decode_policy,
-        closure_key=closure_key,
     )
 
 
 def closure_key(data_centre):
     """Return the key of the row that takes a data centre out of service."""
-    return RowKey(table=_TABLE, part="", key=_EVACUATE_PREFIX + data_centre)
+    return operator_rows.closure_key(CONFIG_ROW, _EVACUATE_PREFIX, data_centre)
 
 
 def decode_policy(row):
--- a/kingcuptrack/platform/store.py
+++ b/kingcuptrack/platform/store.py
@@ -123,7 +123,9 @@
             return Done(value=outcome.value.ver)
         return outcome
 
-    async def follow(*, table, after_version, wait_seconds, timeout_seconds=None):
+    async def follow(
+        *, table, after_version, wait_seconds, timeout_seconds=None, note_begun=None
+    ):
         if timeout_seconds is None:
             timeout_seconds = FEED_TIMEOUT_MARGIN_SECONDS
         query = urlencode(
@@ -138,6 +140,7 @@
             f"/-/rows-feed?{query}",
             timeout_seconds=wait_seconds + TRANSFER_LIMIT_SECONDS,
             silence_seconds=wait_seconds + timeout_seconds,
+            note_begun=note_begun,
         )
         if not isinstance(outcome, Done):
             return outcome
