--- a/emulator/rows.py
+++ b/emulator/rows.py
@@ -140,7 +140,7 @@
                 usual_seconds, delay_seconds = self._draw_delay()
                 await anyio.sleep(usual_seconds)
                 if self._is_cut_off(caller, "follow"):
-                    await anyio.sleep(wait_seconds)
+                    await anyio.sleep_until(begin_by_seconds)
                     return NO_ANSWER
                 outcome = self._find_refusal() or self.read_changes(
                     table, after_version
