Log and count rows that callers' reads cannot decode

A GET whose job, progress or pending row cannot be decoded is answered 504 at every instance for as long as the row is there. Such a row now has a `row` line with the outcome `unreadable`, and the counter kingcuptrack_unreadable_rows_total{table}; so has an unreadable submission that is compared with a repeated one.

--- a/kingcuptrack/coordination/admissions.py
+++ b/kingcuptrack/coordination/admissions.py
@@ -101,12 +101,21 @@
     shard : Shard
     list_workers : callable
         Returns a (labels, capacity) pair of each known worker of a service.
+    metrics : PrometheusMetrics
+        Counts the rows that cannot be decoded.
     overload : OverloadControl or None
         Decides which jobs are refused for lack of capacity; None if none is.
     """
 
     def __init__(
-        self, *, environment, policy_watch, shard, list_workers, overload=None
+        self,
+        *,
+        environment,
+        policy_watch,
+        shard,
+        list_workers,
+        metrics,
+        overload=None,
     ):
         self._store = environment.store
         self._operators = environment.operators
@@ -114,6 +123,7 @@
         self._policy_watch = policy_watch
         self._shard = shard
         self._list_workers = list_workers
+        self._metrics = metrics
         self._overload = overload
         self._timeout = AdaptiveTimeout(
             shortest_seconds=SHORTEST_CALL_TIMEOUT_SECONDS,
@@ -198,7 +208,7 @@
             if isinstance(outcome, Refused) and outcome.code == CONFLICT:
                 row = outcome.detail.get(key)
                 if row is not None:
-                    return _compare_submission(row, request)
+                    return self._compare_submission(row, request)
                 mark = outcome.detail.get(mark_key)
                 if mark is not None and mark.version > earlier_version:
                     return _refuse_withdrawn()
@@ -245,7 +255,7 @@
         if isinstance(outcome, Refused) and outcome.code == CONFLICT:
             row = outcome.detail.get(job_key(self._shard, job_id))
             if row is not None:
-                return _compare_submission(row, request)
+                return self._compare_submission(row, request)
         if not isinstance(outcome, Done):
             return None
         return Refused(
@@ -275,7 +285,7 @@
         try:
             return Done(value=decode_progress(outcome.value.value).state)
         except RecordError as error:
-            return Unknown(message=str(error))
+            return self._note_unreadable(outcome.value, error)
 
     async def cancel(self, caller, job_id, *, timeout_seconds):
         """Cancel a job; returns Done once the cancel mark is stored.
@@ -328,7 +338,7 @@
         try:
             counts = decode_pending(outcome.value.value)
         except RecordError as error:
-            return Unknown(message=str(error))
+            return self._note_unreadable(outcome.value, error)
         return Done(value=counts.get(caller.queue.name, 0))
 
     async def _transact(self, transaction, deadline_seconds):
@@ -386,7 +396,7 @@
         if not isinstance(outcome, Done):
             return caller, Unknown(message=f"{problem}; {outcome.message}")
         if outcome.value is not None:
-            return caller, _compare_submission(outcome.value, request)
+            return caller, self._compare_submission(outcome.value, request)
         return caller, Refused(code=NEVER_FITS, message=problem)
 
     def _refuse_without_store(self):
@@ -459,8 +469,7 @@
         try:
             submission = decode_submission(job_row.value)
         except RecordError as error:
-            log_event("row", outcome="unreadable", row=str(job_row.key), reason=error)
-            return Unknown(message=str(error))
+            return self._note_unreadable(job_row, error)
         owner = submission.organisation
         if owner and owner != caller.organisation_name:
             return _no_such_job()
@@ -500,6 +509,22 @@
         rows = outcome.value.rows
         return Done(value=rows[0] if rows else None)
 
+    def _compare_submission(self, row, request):
+        """Return the outcome of a submission whose job id is already stored."""
+        try:
+            submission = decode_submission(row.value)
+        except RecordError as error:
+            return self._note_unreadable(row, error)
+        if submission.digest == request.digest:
+            return Done(value=row.version)
+        return Refused(code=DIFFERENT_JOB, message="the id belongs to a different job")
+
+    def _note_unreadable(self, row, error):
+        """Log and count a row that cannot be decoded; returns the outcome."""
+        log_event("row", outcome="unreadable", row=str(row.key), reason=str(error))
+        self._metrics.count_unreadable_row(row.key.table)
+        return Unknown(message=str(error))
+
     def _refuse_read(self, outcome):
         """Return the refusal for a read of the store that failed."""
         return Refused(
@@ -520,14 +545,3 @@
         message="the job was cancelled or refused while this request was under way",
         retry_after_seconds=RETRY_AFTER_SECONDS,
     )
-
-
-def _compare_submission(row, request):
-    """Return the outcome of a submission whose job id is already stored."""
-    try:
-        submission = decode_submission(row.value)
-    except RecordError as error:
-        return Unknown(message=str(error))
-    if submission.digest == request.digest:
-        return Done(value=row.version)
-    return Refused(code=DIFFERENT_JOB, message="the id belongs to a different job")
--- a/kingcuptrack/coordination/instance.py
+++ b/kingcuptrack/coordination/instance.py
@@ -65,6 +65,7 @@
             policy_watch=self.policy_watch,
             shard=shard,
             list_workers=self._list_workers,
+            metrics=metrics,
             overload=overload,
         )
 
--- a/kingcuptrack/prometheus_metrics.py
+++ b/kingcuptrack/prometheus_metrics.py
@@ -40,6 +40,12 @@
             "Commits that the store will never accept",
             registry=self._registry,
         )
+        self._unreadable_rows = Counter(
+            "kingcuptrack_unreadable_rows",
+            "Reads for callers that found a row that cannot be decoded, by table",
+            ["table"],
+            registry=self._registry,
+        )
         self._worker_crashes = Counter(
             "kingcuptrack_worker_crashes",
             "Crashes of workers, by whether a job was given up as their cause",
@@ -134,6 +140,10 @@
         """Count a commit that the store will never accept."""
         self._denied_commits.inc()
 
+    def count_unreadable_row(self, table):
+        """Count a read for a caller that found a row that cannot be decoded."""
+        self._unreadable_rows.labels(table).inc()
+
     def count_refusal(self, reason):
         """Count a job that was refused for lack of capacity."""
         self._refusals.labels(reason).inc()
