Answer callers' reads of a slow store within the callers' deadline

Callers who asked for the state of an accepted job got 503 at every instance for as long as each answer of the store took more than 0.8 s, although they wait about 3 s, and so did those who asked for the waiting jobs.

A state needed two reads one after the other, each with the timeout of transactions, which starts at 0.8 s and is adapted by transactions only. The deadline of a GET was not passed on, and a read that failed was not repeated.

GETs now pass their deadline on. The rows of the job and of its progress are read at the same time, and each read is hedged until the deadline, so that a slow store can still answer the first attempt and a silent connection costs 0.85 s. A read that fails at once is repeated once after 0.1 s; the read of the progress only if the job is there. A store that is down thus gets at most three reads for a state, and the caller a 503 after about 0.1 s. The read in a cancel and those that settle the maximum do the same within the deadline that they had. A cancel still repeats a failed read until its deadline, and is then refused with the reason of the read if no change was sent.

Absence still needs an answered read of the job's row. Progress that was read before the job was stored is absent, and the job was queued then.

--- a/kingcuptrack/coordination/admissions.py
+++ b/kingcuptrack/coordination/admissions.py
@@ -20,6 +20,7 @@
 )
 from ..state.jobs.steps import Submission, find_placement_problem, find_step_problems
 from ..state.planning.quotas import find_maximum_problem
+from .hedging import hedge
 from .ports import CONFLICT, DENIED, Transaction
 from .rows import (
     JOBS_TABLE,
@@ -33,7 +34,7 @@
 )
 from .timeouts import AdaptiveTimeout
 
-# Bounds of the timeout of calls to the store.
+# Bounds of the timeout of transactions.
 SHORTEST_CALL_TIMEOUT_SECONDS = 0.8
 LONGEST_CALL_TIMEOUT_SECONDS = 2.0
 # Pause before a transaction is sent again; several times the usual answer time.
@@ -41,6 +42,14 @@
 # Longest time spent on one request; must stay below the time that callers wait, by
 # default `platform.http_api.DEFAULT_DEADLINE_SECONDS`.
 REQUEST_LIMIT_SECONDS = 2.3
+# Longest time spent on a read, however long its caller waits.
+READ_LIMIT_SECONDS = 10.0
+# Time without an answer after which a read is repeated. It is above
+# `platform.store.SUSPICION_SECONDS`, so that the repetition gets a new connection.
+HEDGE_DELAY_SECONDS = 0.85
+# Pause after a failed read, which is repeated once: a store that is down refuses at
+# once, and so must the instance.
+READ_RETRY_SECONDS = 0.1
 # Delay that a caller is asked for after a refusal because the store is unreachable.
 # Another instance can serve the caller at once, and this one reads the store again
 # within a second.
@@ -182,7 +191,9 @@
         may_be_stored = False
         while True:
             if self._find_maximum_problem(caller, request):
-                caller, settled = await self._settle_maximum(caller, key, request)
+                caller, settled = await self._settle_maximum(
+                    caller, key, request, deadline_seconds
+                )
                 if settled is not None:
                     return settled
             data = encode_record(self._make_submission(caller, job_id, request))
@@ -269,15 +280,17 @@
             detail=decision,
         )
 
-    async def read_state(self, caller, job_id):
+    async def read_state(
+        self, caller, job_id, *, timeout_seconds=REQUEST_LIMIT_SECONDS
+    ):
         """Return Done with a `JobState`, Refused or Unknown."""
-        found = await self._find_job(caller, job_id)
+        found, outcome = await self._find_job_and_progress(
+            caller, job_id, self._read_deadline_seconds(timeout_seconds)
+        )
         if not isinstance(found, Done):
             return found
         if found.value[0] is None:
             return _no_such_job()
-        key = progress_key(self._shard, job_id)
-        outcome = await self._read_row(key)
         if not isinstance(outcome, Done):
             return outcome
         if outcome.value is None:
@@ -290,32 +303,22 @@
     async def cancel(self, caller, job_id, *, timeout_seconds):
         """Cancel a job; returns Done once the cancel mark is stored.
 
-        Refused means that there is no such job, and that no submission which the store
-        has yet to apply can create it.
+        Refused with `NO_SUCH_JOB` means that no submission which the store has yet to
+        apply can create the job either.
         """
         deadline_seconds = self._clocks.steady() + min(
             timeout_seconds, REQUEST_LIMIT_SECONDS
         )
-        key = cancel_key(self._shard, job_id)
+        may_be_stored = False
         while True:
-            found = await self._find_job(caller, job_id)
+            found = await self._find_job(caller, job_id, deadline_seconds)
             if isinstance(found, Refused) and found.code != NOT_READY:
                 return found
             if isinstance(found, Done):
                 job_row, cancel_row = found.value
                 if cancel_row is not None:
                     return Done()
-                if job_row is None:
-                    transaction = self._make_withdrawal(caller, job_id)
-                else:
-                    transaction = Transaction(
-                        expect={
-                            job_row.key: job_row.version,
-                            self._operators.policy_key: caller.policy.row_version,
-                            key: 0,
-                        },
-                        puts={key: caller.organisation_name.encode()},
-                    )
+                transaction = self._make_cancel(caller, job_id, job_row)
                 outcome = await self._transact(transaction, deadline_seconds)
                 if isinstance(outcome, Done):
                     return Done() if job_row is not None else _no_such_job()
@@ -324,13 +327,18 @@
                     if not isinstance(reauthorised, Done):
                         return reauthorised
                     caller = reauthorised.value
+                may_be_stored = may_be_stored or isinstance(outcome, Unknown)
             if self._clocks.steady() + RETRY_SECONDS > deadline_seconds:
+                if isinstance(found, Refused) and not may_be_stored:
+                    return found
                 return Unknown(message="the store did not confirm the cancel")
             await anyio.sleep(RETRY_SECONDS)
 
-    async def count_pending(self, caller):
+    async def count_pending(self, caller, *, timeout_seconds=REQUEST_LIMIT_SECONDS):
         """Return Done with the number of waiting jobs of a queue."""
-        outcome = await self._read_row(pending_key(self._shard))
+        outcome = await self._read_row(
+            pending_key(self._shard), self._read_deadline_seconds(timeout_seconds)
+        )
         if not isinstance(outcome, Done):
             return outcome
         if outcome.value is None:
@@ -372,7 +380,7 @@
             return ""
         return find_maximum_problem(request.steps, caller.organisation.maximum)
 
-    async def _settle_maximum(self, caller, key, request):
+    async def _settle_maximum(self, caller, key, request, deadline_seconds):
         """Return the reauthorised caller, and the outcome of a job above the maximum.
 
         The outcome is None if the newest configuration allows the job.
@@ -381,7 +389,7 @@
         since its transaction expects its configuration to be in force.
         """
         policy_key = self._operators.policy_key
-        outcome = await self._read_row(policy_key)
+        outcome = await self._read_row(policy_key, deadline_seconds)
         if not isinstance(outcome, Done):
             return caller, Unknown(message=outcome.message)
         rows = {policy_key: outcome.value} if outcome.value else {}
@@ -392,7 +400,7 @@
         problem = self._find_maximum_problem(caller, request)
         if not problem:
             return caller, None
-        outcome = await self._read_row(key)
+        outcome = await self._read_row(key, deadline_seconds)
         if not isinstance(outcome, Done):
             return caller, Unknown(message=f"{problem}; {outcome.message}")
         if outcome.value is not None:
@@ -443,18 +451,47 @@
         self._policy_watch.apply(policy)
         return self.authorise(host=caller.host, path=caller.path, key=caller.key)
 
-    async def _find_job(self, caller, job_id):
+    def _read_deadline_seconds(self, timeout_seconds):
+        return self._clocks.steady() + min(timeout_seconds, READ_LIMIT_SECONDS)
+
+    async def _find_job_and_progress(self, caller, job_id, deadline_seconds):
+        """Return the outcomes of `_find_job` and of the read of the progress row.
+
+        Both rows are read at the same time. A progress row that was read before its job
+        was stored is absent, and the job was queued then. The second outcome is None if
+        there is no job to show.
+        """
+        rows = _row_range(progress_key(self._shard, job_id))
+        send, receive = anyio.create_memory_object_stream(1)
+
+        async def read_progress():
+            send.send_nowait(await self._read_once(rows, deadline_seconds))
+
+        async with send, receive, anyio.create_task_group() as task_group:
+            task_group.start_soon(read_progress)
+            found = await self._find_job(caller, job_id, deadline_seconds)
+            if not isinstance(found, Done) or found.value[0] is None:
+                task_group.cancel_scope.cancel()
+                return found, None
+            outcome = await receive.receive()
+        if not isinstance(outcome, Done):
+            outcome = await self._read_again(rows, deadline_seconds, outcome)
+        return found, self._take_row(outcome)
+
+    async def _find_job(self, caller, job_id, deadline_seconds):
         """Return Done with (job row or None, cancel row or None), Refused or Unknown.
 
         A job of another organisation is refused.
         """
         first, last = job_range(job_id)
-        outcome = await self._store.read(
-            table=JOBS_TABLE,
-            part=self._shard.part,
-            first=first,
-            last=last,
-            timeout_seconds=self._timeout.seconds,
+        outcome = await self._read_rows(
+            {
+                "table": JOBS_TABLE,
+                "part": self._shard.part,
+                "first": first,
+                "last": last,
+            },
+            deadline_seconds,
         )
         if not isinstance(outcome, Done):
             return self._refuse_read(outcome)
@@ -475,6 +512,20 @@
             return _no_such_job()
         return Done(value=(job_row, cancel_row))
 
+    def _make_cancel(self, caller, job_id, job_row):
+        """Return the transaction that cancels a job, which may have no row."""
+        if job_row is None:
+            return self._make_withdrawal(caller, job_id)
+        key = cancel_key(self._shard, job_id)
+        return Transaction(
+            expect={
+                job_row.key: job_row.version,
+                self._operators.policy_key: caller.policy.row_version,
+                key: 0,
+            },
+            puts={key: caller.organisation_name.encode()},
+        )
+
     def _make_withdrawal(self, caller, job_id):
         """Return the transaction that excludes a submission that is on its way.
 
@@ -495,20 +546,46 @@
             },
         )
 
-    async def _read_row(self, key):
+    async def _read_row(self, key, deadline_seconds):
         """Return Done with a row or None, or Refused."""
-        outcome = await self._store.read(
-            table=key.table,
-            part=key.part,
-            first=key.key,
-            last=key.key + "\0",
-            timeout_seconds=self._timeout.seconds,
-        )
+        return self._take_row(await self._read_rows(_row_range(key), deadline_seconds))
+
+    def _take_row(self, outcome):
+        """Return Done with the row of a read or None, or Refused."""
         if not isinstance(outcome, Done):
             return self._refuse_read(outcome)
         rows = outcome.value.rows
         return Done(value=rows[0] if rows else None)
 
+    async def _read_rows(self, rows, deadline_seconds):
+        """Return the outcome of a read, which is repeated once if it fails."""
+        outcome = await self._read_once(rows, deadline_seconds)
+        if isinstance(outcome, Done):
+            return outcome
+        return await self._read_again(rows, deadline_seconds, outcome)
+
+    async def _read_again(self, rows, deadline_seconds, outcome):
+        """Repeat a read that failed with an outcome, unless no time is left."""
+        if self._clocks.steady() + READ_RETRY_SECONDS >= deadline_seconds:
+            return outcome
+        await anyio.sleep(READ_RETRY_SECONDS)
+        return await self._read_once(rows, deadline_seconds)
+
+    async def _read_once(self, rows, deadline_seconds):
+        """Return the outcome of a read; ``rows`` are the arguments of `Store.read`."""
+
+        async def read(*, timeout_seconds, note_begun):
+            return await self._store.read(**rows, timeout_seconds=timeout_seconds)
+
+        limit_seconds = deadline_seconds - self._clocks.steady()
+        if limit_seconds > 0:
+            # An answer that has begun may arrive for longer than its timeout.
+            with anyio.move_on_after(limit_seconds):
+                return await hedge(
+                    read, delay_seconds=HEDGE_DELAY_SECONDS, limit_seconds=limit_seconds
+                )
+        return Unknown(message="no answer while the caller waited")
+
     def _compare_submission(self, row, request):
         """Return the outcome of a submission whose job id is already stored."""
         try:
@@ -534,6 +611,16 @@
         )
 
 
+def _row_range(key):
+    """Return the arguments of `Store.read` for one row."""
+    return {
+        "table": key.table,
+        "part": key.part,
+        "first": key.key,
+        "last": key.key + "\0",
+    }
+
+
 def _no_such_job():
     return Refused(code=NO_SUCH_JOB, message="no such job")
 
--- a/kingcuptrack/platform/http_api.py
+++ b/kingcuptrack/platform/http_api.py
@@ -201,7 +201,9 @@
     caller = outcome.value
     job_id = request.path.removeprefix(caller.queue.path_prefix)
     if not job_id and request.method == "GET":
-        outcome = await admissions.count_pending(caller)
+        outcome = await admissions.count_pending(
+            caller, timeout_seconds=request.timeout_seconds
+        )
         return "pending", "", _make_answer(outcome, lambda count: {"pending": count})
     if not _JOB_ID.fullmatch(job_id):
         answer = _make_error(400, "a job id has 16 hexadecimal digits")
@@ -209,7 +211,9 @@
     if request.method == "POST":
         return "submit", job_id, await _submit(admissions, caller, job_id, request)
     if request.method == "GET":
-        outcome = await admissions.read_state(caller, job_id)
+        outcome = await admissions.read_state(
+            caller, job_id, timeout_seconds=request.timeout_seconds
+        )
         answer = _make_answer(outcome, lambda state: {"state": state.value})
         return "state", job_id, answer
     if request.method == "DELETE":
