Test that a job is absent only after an answered read

The rows of a job are read at the same time and repeatedly, so that a 410 must not come from a read without an answer. Passes on the code as it is.

--- a/tests/test_callers_reads.py
+++ b/tests/test_callers_reads.py
@@ -204,6 +204,28 @@
     check.assertEqual(reads.counts, {})
 
 
+def test_a_job_is_absent_only_after_an_answered_read():
+    """Guards against a 410 for an accepted job whose row was not read."""
+
+    async def run(cluster):
+        await submit_job(
+            cluster.members[0], cluster, JOB_ID(1), WAITING_STEP, run_seconds=1.0
+        )
+        statuses = []
+        for number in (1, 2):
+            for silent_count in (0, 1, 1000):
+                reads = Reads(store=cluster.store, silent_count=silent_count)
+                admissions = make_admissions(cluster, reads)
+                status, _, _ = await get(
+                    cluster, admissions, f"/batch/{JOB_ID(number)}"
+                )
+                check.assertEqual(reads.open_count, 0)
+                statuses.append(status)
+        return statuses
+
+    check.assertEqual(play_cluster(run), [200, 200, 503, 410, 410, 503])
+
+
 def test_a_slow_store_takes_cancels():
     """Guards against a cancel whose read of the job ends before each answer."""
 
