Receive conflicts that carry a large configuration

What callers saw: 504 for a submission after the configuration had changed. The store answers a failed condition with all rows in the conditions, among them the configuration, whose transfer over a narrow link takes longer than the timeout of the transaction: the conflict was taken for silence, and the submission repeated with the same condition.

Change: the timeout of a transaction is a silence, as that of a read is. A submission still ends at the caller's deadline.

test_conflict_lasts_as_long_as_its_answer_arrives fails without the change of the store client: the outcome is Unknown.

--- a/kingcuptrack/coordination/admissions.py
+++ b/kingcuptrack/coordination/admissions.py
@@ -352,10 +352,12 @@
     async def _transact(self, transaction, deadline_seconds):
         started_at_seconds = self._clocks.steady()
         remaining_seconds = max(0.0, deadline_seconds - started_at_seconds)
-        outcome = await self._store.transact(
-            transaction=transaction,
-            timeout_seconds=min(self._timeout.seconds, remaining_seconds),
-        )
+        outcome = Unknown(message="no answer while the caller waited")
+        with anyio.move_on_after(remaining_seconds):
+            outcome = await self._store.transact(
+                transaction=transaction,
+                timeout_seconds=min(self._timeout.seconds, remaining_seconds),
+            )
         if isinstance(outcome, Unknown):
             self._timeout.note_timeout()
         else:
--- a/kingcuptrack/coordination/ports.py
+++ b/kingcuptrack/coordination/ports.py
@@ -94,7 +94,8 @@
     key is no bound. ``timeout_seconds`` is the longest time in which nothing of the
     answer arrives; the transfer of a large answer may take longer. ``note_begun()`` is
     called when the answer begins to arrive.
-    ``transact(transaction, timeout_seconds)`` returns the new version.
+    ``transact(transaction, timeout_seconds)`` returns the new version; its timeout is a
+    silence as well.
     ``follow(table, after_version, wait_seconds, timeout_seconds=None,
     note_begun=None)`` returns `RowsRead` with the changes of the feed after a version;
     its timeout counts beyond the wait. ``limits`` are the `StoreLimits`.
--- a/kingcuptrack/platform/store.py
+++ b/kingcuptrack/platform/store.py
@@ -116,8 +116,14 @@
             ],
             "remove": [_encode_key(key) for key in transaction.removes],
         }
+        # A conflict is answered with the rows in the conditions, among them often the
+        # configuration.
         outcome = await call(
-            "POST", "/-/rows-tx", timeout_seconds=timeout_seconds, body=body
+            "POST",
+            "/-/rows-tx",
+            timeout_seconds=TRANSFER_LIMIT_SECONDS,
+            silence_seconds=timeout_seconds,
+            body=body,
         )
         if isinstance(outcome, Done):
             return Done(value=outcome.value.ver)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -5,7 +5,9 @@
 
 import anyio
 
+from kingcuptrack.coordination.ports import CONFLICT, Transaction
 from kingcuptrack.outcomes import Done, Refused, Unknown
+from kingcuptrack.platform.operators import CONFIG_ROW
 from kingcuptrack.platform.store import make_store
 from kingcuptrack.transport.http_client import HttpClient
 
@@ -70,14 +72,14 @@
         check.assertEqual(request(port, host=host).code, "unreachable")
 
 
-async def call_slow_server(call, *, pieces, pause_seconds):
+async def call_slow_server(call, *, pieces, pause_seconds, status="200 OK"):
     """Return ``call(url)`` with a server that sends its body in pieces."""
 
     async def answer(stream):
         async with stream:
             await stream.receive()
             size_bytes = sum(map(len, pieces))
-            head = f"HTTP/1.1 200 OK\r\ncontent-length: {size_bytes}\r\n\r\n"
+            head = f"HTTP/1.1 {status}\r\ncontent-length: {size_bytes}\r\n\r\n"
             await stream.send(head.encode())
             for piece in pieces:
                 await anyio.sleep(pause_seconds)
@@ -116,24 +118,47 @@
     check.assertIsInstance(anyio.run(run, [b"x"], 4 * TIMEOUT_SECONDS), Unknown)
 
 
-def test_read_of_the_store_lasts_as_long_as_its_answer_arrives():
-    """Guards against rows that an instance with a narrow link can never read."""
+def call_slow_store(call, *, status):
+    """Return the outcome of ``call(store)`` whose answer arrives for several timeouts.
+
+    The answer holds the configuration row, with the value ``v``.
+    """
     row = {"table": "op", "part": "", "key": "config", "ver": 1, "value": "dg=="}
     body = json.dumps({"ver": 1, "rows": [row]}).encode()
 
-    async def read(url):
-        store = make_store(HttpClient(connections_count=1), lambda: url)
-        return await store.read(
-            table="op", part="", first="", last="", timeout_seconds=TIMEOUT_SECONDS
-        )
-
     async def run():
-        pieces = [body[i : i + 10] for i in range(0, len(body), 10)]
         return await call_slow_server(
-            read, pieces=pieces, pause_seconds=TIMEOUT_SECONDS / 4
+            lambda url: call(make_store(HttpClient(connections_count=1), lambda: url)),
+            pieces=[body[i : i + 10] for i in range(0, len(body), 10)],
+            pause_seconds=TIMEOUT_SECONDS / 4,
+            status=status,
         )
 
-    check.assertEqual(anyio.run(run).value.rows[0].value, b"v")
+    return anyio.run(run)
+
+
+def test_read_of_the_store_lasts_as_long_as_its_answer_arrives():
+    """Guards against rows that an instance with a narrow link can never read."""
+    outcome = call_slow_store(
+        lambda store: store.read(
+            table="op", part="", first="", last="", timeout_seconds=TIMEOUT_SECONDS
+        ),
+        status="200 OK",
+    )
+    check.assertEqual(outcome.value.rows[0].value, b"v")
+
+
+def test_conflict_lasts_as_long_as_its_answer_arrives():
+    """Guards against a conflict that is taken for silence since its rows are large."""
+    transaction = Transaction(expect={CONFIG_ROW: 0})
+    outcome = call_slow_store(
+        lambda store: store.transact(
+            transaction=transaction, timeout_seconds=TIMEOUT_SECONDS
+        ),
+        status="412 Precondition Failed",
+    )
+    check.assertEqual(outcome.code, CONFLICT)
+    check.assertEqual(outcome.detail[CONFIG_ROW].value, b"v")
 
 
 def test_requests_avoid_the_connections_of_a_silent_request():
