Do not repeat a caller's read whose answer is arriving

A read for a caller was repeated after 0.85 s also if its answer was already arriving, which slows down a large row over a narrow link: most of all the configuration, which is read anew for a job above the maximum. Reads now tell hedge() when the answer begins.

The new test of slow answers failed without the change of admissions.py, since rows were read more than once.

--- a/kingcuptrack/coordination/admissions.py
+++ b/kingcuptrack/coordination/admissions.py
@@ -4,6 +4,8 @@
 refused only if no attempt to store it can still have an effect.
 """
 
+import functools
+
 import anyio
 import attrs
 
@@ -575,10 +577,7 @@
 
     async def _read_once(self, rows, deadline_seconds):
         """Return the outcome of a read; ``rows`` are the arguments of `Store.read`."""
-
-        async def read(*, timeout_seconds, note_begun):
-            return await self._store.read(**rows, timeout_seconds=timeout_seconds)
-
+        read = functools.partial(self._store.read, **rows)
         limit_seconds = deadline_seconds - self._clocks.steady()
         if limit_seconds > 0:
             # An answer that has begun may arrive for longer than its timeout.
--- a/tests/test_callers_reads.py
+++ b/tests/test_callers_reads.py
@@ -58,6 +58,8 @@
             if count < self.failing_count:
                 await anyio.sleep(USUAL_SECONDS)
                 return self.failure
+            if self.is_trickling and note_begun is not None:
+                note_begun()
             seconds = self.seconds if count >= self.silent_count else float("inf")
             await anyio.sleep(
                 seconds if self.is_trickling else min(seconds, timeout_seconds)
@@ -199,6 +201,17 @@
     check_refused(answers, 0.75)
     answers, _ = play_gets(seconds=30.0, is_trickling=True)
     check_refused(answers, ANSWER_LIMIT_SECONDS + 0.05)
+
+
+def test_an_answer_that_arrives_slowly_is_not_asked_for_again():
+    """Guards against repeated reads that slow down a large row over a narrow link."""
+    answers, reads = play_gets(seconds=2.0, is_trickling=True)
+    check_answered(answers)
+    check.assertEqual(set(reads.counts.values()), {1})
+
+
+def test_no_read_is_begun_after_the_callers_deadline():
+    """Guards against calls to the store whose answers nobody waits for."""
     answers, reads = play_gets(deadline_ms=100)
     check_refused(answers, 0.0)
     check.assertEqual(reads.counts, {})
