Suspect a silent connection before its read is repeated

The repetition after 0.8 s could begin just before the connections were replaced, and get another broken one. Read from the code, not measured.

--- a/kingcuptrack/platform/store.py
+++ b/kingcuptrack/platform/store.py
@@ -25,7 +25,7 @@
 TRANSFER_LIMIT_SECONDS = 15.0
 # Many times the usual answer time; a connection that is silent for longer may be
 # broken.
-SUSPICION_SECONDS = 0.8
+SUSPICION_SECONDS = 0.75
 # Default timeout of a feed request beyond the wait that it asks for.
 FEED_TIMEOUT_MARGIN_SECONDS = 1.5
 # Largest size of the table, partition and key of a row.
