Keep repeating hedged reads, and bound calls until their answer begins

Attempts now go on at their interval, up to four at a time, and only one whose answer is arriving stops them. The timeout of a call counts until its answer begins. Feed requests cast suspicion on their connections. The feed is continued from a version only after a second request without changes, FEED_LAG_SECONDS later. The store counts as reachable once an answer has begun.

--- a/kingcuptrack/coordination/hedging.py
+++ b/kingcuptrack/coordination/hedging.py
@@ -6,12 +6,16 @@
 and the earlier ones may still answer.
 """
 
+import functools
+import math
+
 import anyio
 
 from ..outcomes import Done
 
-# Attempts that wait at the same time; bounds the load on a store that is slow.
-ATTEMPTS_LIMIT_COUNT = 3
+# Attempts that wait at the same time; a further one replaces the oldest. Bounds the
+# load on a store that is slow.
+ATTEMPTS_LIMIT_COUNT = 4
 
 
 async def hedge(read, *, delay_seconds, limit_seconds):
@@ -34,35 +38,38 @@
         The first `Done`. An attempt that fails is the outcome if no other one waits.
     """
     deadline_seconds = anyio.current_time() + limit_seconds
-    begun = anyio.Event()
-    send, receive = anyio.create_memory_object_stream(ATTEMPTS_LIMIT_COUNT)
-    pending_count = 0
+    send, receive = anyio.create_memory_object_stream(math.inf)
+    # Cancel scopes of the attempts that wait, oldest first, and those of them whose
+    # answer has begun to arrive.
+    waiting, begun = [], set()
 
-    async def attempt():
+    async def attempt(scope):
         remaining_seconds = max(0.0, deadline_seconds - anyio.current_time())
-        outcome = await read(timeout_seconds=remaining_seconds, note_begun=begun.set)
-        send.send_nowait(outcome)
-
-    async def receive_outcome():
-        nonlocal pending_count
-        while True:
-            outcome = await receive.receive()
-            pending_count -= 1
-            if isinstance(outcome, Done) or not pending_count:
-                return outcome
+        with scope:
+            outcome = await read(
+                timeout_seconds=remaining_seconds,
+                note_begun=functools.partial(begun.add, scope),
+            )
+            waiting.remove(scope)
+            begun.discard(scope)
+            send.send_nowait(outcome)
 
     async with send, receive, anyio.create_task_group() as task_group:
-        for _ in range(ATTEMPTS_LIMIT_COUNT):
-            task_group.start_soon(attempt)
-            pending_count += 1
-            outcome = None
+        outcome = None
+        while not isinstance(outcome, Done):
+            remaining_seconds = deadline_seconds - anyio.current_time()
+            is_late = remaining_seconds < delay_seconds / 2
+            if not waiting or not (begun or is_late):
+                if len(waiting) == ATTEMPTS_LIMIT_COUNT:
+                    waiting.pop(0).cancel()
+                waiting.append(anyio.CancelScope())
+                task_group.start_soon(attempt, waiting[-1])
             with anyio.move_on_after(delay_seconds):
-                outcome = await receive_outcome()
-            if outcome is not None or begun.is_set():
-                break
-            if anyio.current_time() + delay_seconds >= deadline_seconds:
+                while not isinstance(outcome, Done):
+                    outcome = await receive.receive()
+                    if not waiting:
+                        break
+            if outcome is not None and not waiting:
                 break
-        if outcome is None:
-            outcome = await receive_outcome()
         task_group.cancel_scope.cancel()
     return outcome
--- a/kingcuptrack/coordination/operator_rows.py
+++ b/kingcuptrack/coordination/operator_rows.py
@@ -49,6 +49,7 @@
             closed_data_centres=frozenset(closed),
             store_version=rows_read.version,
             size_bytes=size_bytes,
+            is_changed=bool(rows_read.rows),
         )
 
     async def read(*, timeout_seconds, note_begun=None):
--- a/kingcuptrack/coordination/policy_watch.py
+++ b/kingcuptrack/coordination/policy_watch.py
@@ -72,6 +72,8 @@
     # tells later changes only, so that what is noted between reads does not count.
     _read_closed_data_centres: frozenset = attrs.field(default=frozenset(), init=False)
     _known_version: int = attrs.field(default=0, init=False)
+    # Start of a feed request without changes, and the version that it told.
+    _unchanged_at: tuple | None = attrs.field(default=None, init=False)
     # (time of replacement, configuration), oldest first.
     _replaced: list = attrs.field(factory=list, init=False)
 
@@ -131,11 +133,7 @@
             self.metrics.observe("configuration_read", read_seconds)
         self._note_answered(isinstance(outcome, Done), outcome)
         if isinstance(outcome, Done):
-            self._apply_read(
-                outcome.value,
-                confirmed_at_seconds=started_at_seconds
-                - (0.0 if is_whole else FEED_LAG_SECONDS),
-            )
+            self._apply_read(outcome.value, started_at_seconds, is_whole=is_whole)
             if outcome.value.size_bytes <= WHOLE_READ_LIMIT_BYTES:
                 self._patience.note_answer(read_seconds)
         self._note_confirmed(read_seconds)
@@ -156,17 +154,27 @@
         return True, await self._hedge(self.operators.read)
 
     async def _hedge(self, read):
+        async def read_and_note(*, timeout_seconds, note_begun):
+            def note():
+                self._read_since_seconds = None
+                note_begun()
+
+            return await read(timeout_seconds=timeout_seconds, note_begun=note)
+
         return await hedge(
-            read,
+            read_and_note,
             delay_seconds=self._patience.seconds,
             limit_seconds=READ_LIMIT_SECONDS,
         )
 
-    def _apply_read(self, read, *, confirmed_at_seconds):
+    def _apply_read(self, read, started_at_seconds, *, is_whole):
+        confirmed_at_seconds = started_at_seconds
+        if not is_whole:
+            confirmed_at_seconds -= FEED_LAG_SECONDS
         self._confirmed_at_seconds = max(
             self._confirmed_at_seconds, confirmed_at_seconds
         )
-        self._known_version = read.store_version
+        self._known_version = self._find_known_version(read, started_at_seconds)
         self._read_closed_data_centres = read.closed_data_centres
         self.store_version = max(self.store_version, read.store_version)
         self._size_bytes = read.size_bytes or self._size_bytes
@@ -174,6 +182,24 @@
             self.apply(read.policy)
         self._set_closed_data_centres(read.closed_data_centres)
 
+    def _find_known_version(self, read, started_at_seconds):
+        """Return the version from which the feed is to be continued.
+
+        A feed that told no changes may have been silent about some up to its version,
+        unless a request that began `FEED_LAG_SECONDS` later tells none either.
+        """
+        if read.is_changed:
+            self._unchanged_at = None
+            return read.store_version
+        if self._unchanged_at is None:
+            self._unchanged_at = started_at_seconds, read.store_version
+            return self._known_version
+        since_seconds, version = self._unchanged_at
+        if started_at_seconds < since_seconds + FEED_LAG_SECONDS:
+            return self._known_version
+        self._unchanged_at = started_at_seconds, read.store_version
+        return version
+
     def apply(self, policy):
         """Use a configuration unless one at least as new is already in use."""
         if self.policy is not None and policy.row_version <= self.policy.row_version:
--- a/kingcuptrack/coordination/ports.py
+++ b/kingcuptrack/coordination/ports.py
@@ -162,7 +162,8 @@
 class PolicyRead:
     """The configuration and the data centres that are out of service, as read.
 
-    ``policy`` is None if it was not read or cannot be used. ``store_version`` is the
+    ``policy`` is None if it was not read or cannot be used. ``is_changed`` is False if
+    the feed told no changes. ``store_version`` is the
     version of the store that was read, ``size_bytes`` the size of the configuration, 0
     if it was not read.
     """
@@ -171,6 +172,7 @@
     closed_data_centres: frozenset[str]
     store_version: int = 0
     size_bytes: int = 0
+    is_changed: bool = True
 
 
 @attrs.frozen(kw_only=True)
--- a/kingcuptrack/platform/store.py
+++ b/kingcuptrack/platform/store.py
@@ -146,6 +146,7 @@
             f"/-/rows-feed?{query}",
             timeout_seconds=wait_seconds + TRANSFER_LIMIT_SECONDS,
             silence_seconds=wait_seconds + timeout_seconds,
+            suspicion_seconds=wait_seconds + SUSPICION_SECONDS,
             note_begun=note_begun,
         )
         if not isinstance(outcome, Done):
--- a/kingcuptrack/transport/http_client.py
+++ b/kingcuptrack/transport/http_client.py
@@ -71,7 +71,8 @@
         timeout_seconds : float
             Bound of the whole exchange.
         silence_seconds : float, optional
-            Longest time without any part of the answer; by default ``timeout_seconds``.
+            Longest time until the answer begins, and without any part of it; by
+            default ``timeout_seconds``.
         suspicion_seconds : float, optional
             Time without an answer after which other requests use new connections.
         note_begun : callable, optional
@@ -100,18 +101,19 @@
             silence_seconds = timeout_seconds
         pool, number = self._open_request(suspicion_seconds)
         try:
-            with anyio.fail_after(timeout_seconds):
+            with anyio.fail_after(silence_seconds) as scope:
+
+                def extend_deadline():
+                    scope.deadline += timeout_seconds - silence_seconds
+                    if note_begun is not None:
+                        note_begun()
+
                 response = await pool.request(
                     method,
                     parsed_url,
                     headers={**self._headers, **headers} if headers else self._headers,
                     content=content,
-                    extensions=_make_extensions(
-                        connect_seconds=CONNECT_FRACTION
-                        * min(timeout_seconds, silence_seconds),
-                        silence_seconds=silence_seconds,
-                        note_begun=note_begun,
-                    ),
+                    extensions=_make_extensions(silence_seconds, extend_deadline),
                 )
         except NOT_SENT_ERRORS as error:
             return Refused(code="unreachable", message=f"{method} {url}: {error!r}")
@@ -163,21 +165,21 @@
             await pool.aclose()
 
 
-def _make_extensions(*, connect_seconds, silence_seconds, note_begun):
+def _make_extensions(silence_seconds, note_begun):
     """Return the options of httpcore for one request."""
-    timeout = {
-        "connect": connect_seconds,
-        "pool": connect_seconds,
-        "read": silence_seconds,
-    }
-    if note_begun is None:
-        return {"timeout": timeout}
 
     async def trace(event, _):
         if event == "http11.receive_response_headers.complete":
             note_begun()
 
-    return {"timeout": timeout, "trace": trace}
+    return {
+        "timeout": {
+            "connect": CONNECT_FRACTION * silence_seconds,
+            "pool": CONNECT_FRACTION * silence_seconds,
+            "read": silence_seconds,
+        },
+        "trace": trace,
+    }
 
 
 def decode_body(response, parse):
