Renew the leadership while the jobs are loaded

The leadership was renewed only after a read of the jobs had failed. Since reads of the store end after a silence, a large table over a narrow link is read on; a candidate took over after a second, and began to read in turn, so that nobody ever scheduled.

The new test fails on the code before: the job is not completed. With rows that take 2.0 s it fails still: the emulator's link passes answers one after another, so that the answers of the commits wait for the table.

--- a/kingcuptrack/coordination/job_feed.py
+++ b/kingcuptrack/coordination/job_feed.py
@@ -18,6 +18,9 @@
 
 # Timeout of reads of whole tables, which can have some megabytes.
 READ_TIMEOUT_SECONDS = 2.0
+# Interval between commits that renew the leadership while a table arrives; several must
+# fit into `leadership.TAKEOVER_SECONDS`.
+RENEWAL_INTERVAL_SECONDS = 0.4
 # Pause after a read without an answer, so that an outage causes only a few reads per
 # second.
 RETRY_SECONDS = 0.15
@@ -96,13 +99,33 @@
 
     async def _read_until_done(self, table):
         while True:
-            outcome = await self._read(table)
+            outcome = await self._read_and_renew(table)
             if isinstance(outcome, Done):
                 return outcome.value
-            # The empty commit renews the leadership until a read is answered.
-            await self._chain.commit(expect={}, puts={})
+            await self._renew()
             await anyio.sleep(RETRY_SECONDS)
 
+    async def _read_and_renew(self, table):
+        """Return the outcome of a read; renews the leadership until it has ended."""
+        outcome, is_done = None, anyio.Event()
+
+        async def read():
+            nonlocal outcome
+            outcome = await self._read(table)
+            is_done.set()
+
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(read)
+            while not is_done.is_set():
+                with anyio.move_on_after(RENEWAL_INTERVAL_SECONDS):
+                    await is_done.wait()
+                if not is_done.is_set():
+                    await self._renew()
+        return outcome
+
+    async def _renew(self):
+        await self._chain.commit(expect={}, puts={})
+
     def _apply_rows(self, rows, progress_rows):
         """Add the jobs of rows, and their progress from its rows by job."""
         cancelled_ids = {
--- a/tests/cluster_plays.py
+++ b/tests/cluster_plays.py
@@ -48,6 +48,14 @@
         logger.enable("kingcuptrack")
 
 
+def set_links(cluster, *, bytes_per_second):
+    """Restart all instances with links of this rate."""
+    for member in cluster.members:
+        cluster.kill(member)
+        member.link_bytes_per_second = bytes_per_second
+        cluster.start(member)
+
+
 async def submit_job(member, cluster, job_id, step, *, run_seconds, queue="batch"):
     """Submit a job with one step at an instance; returns the caller.
 
--- a/tests/test_job_feed.py
+++ b/tests/test_job_feed.py
@@ -12,6 +12,7 @@
 from kingcuptrack.state.jobs.progress import JobProgress, JobState
 from kingcuptrack.state.jobs.records import encode_progress, encode_record
 
+from .cluster_plays import play_cluster, set_links, submit_job
 from .shard_states import add_job, make_shard_state, make_step
 from .support import check, function_tests
 
@@ -72,3 +73,21 @@
     """Guards against tasks that run again because their progress was not read."""
     jobs = _follow_after_lost_history(progress=b"?", forget_during_read=False)
     check.assertEqual(jobs, {})
+
+
+def test_a_leader_stays_the_leader_while_it_loads_the_jobs():
+    """Guards against leaders that replace each other before any has loaded the jobs."""
+    rows_count, row_bytes, load_seconds = 40, 4000, 1.6
+
+    async def play(cluster):
+        for number in range(rows_count):
+            key = job_key(SHARD, f"{number:016x}")
+            cluster.store.put(key, bytes(row_bytes))
+        set_links(cluster, bytes_per_second=rows_count * row_bytes / load_seconds)
+        await anyio.sleep(4 * load_seconds)
+        member = cluster.members[0]
+        caller = await submit_job(member, cluster, "f" * 16, make_step(), run_seconds=1)
+        await anyio.sleep(4 * load_seconds)
+        return await member.instance.admissions.read_state(caller, "f" * 16)
+
+    check.assertEqual(play_cluster(play), Done(value=JobState.COMPLETED))
--- a/tests/test_policy_watch.py
+++ b/tests/test_policy_watch.py
@@ -11,7 +11,7 @@
 )
 from kingcuptrack.outcomes import Done
 
-from .cluster_plays import play_cluster
+from .cluster_plays import play_cluster, set_links
 from .simulated_policy import HOST, KEY, make_policy
 from .support import check, function_tests
 
@@ -46,14 +46,6 @@
     return size_bytes
 
 
-def set_links(cluster, *, bytes_per_second):
-    """Restart all instances with links of this rate."""
-    for member in cluster.members:
-        cluster.kill(member)
-        member.link_bytes_per_second = bytes_per_second
-        cluster.start(member)
-
-
 def is_authorised(member, *, key=KEY):
     """Return whether an instance answers callers with a key."""
     admissions = member.instance.admissions
