--- a/kingcuptrack/coordination/policy_watch.py
+++ b/kingcuptrack/coordination/policy_watch.py
@@ -18,8 +18,8 @@
 READ_INTERVAL_SECONDS = 0.7
 # Bounds of the time after which a read without an answer is repeated. Until then the
 # store counts as reachable.
-SHORTEST_PATIENCE_SECONDS = 0.8
-LONGEST_PATIENCE_SECONDS = 2.5
+SHORTEST_HEDGE_DELAY_SECONDS = 0.8
+LONGEST_HEDGE_DELAY_SECONDS = 2.5
 # Time after which reads without an answer are given up.
 READ_LIMIT_SECONDS = 3.0
 # Pause after a read that was slow or without an answer.
@@ -60,18 +60,18 @@
     _is_answered: bool = attrs.field(default=True, init=False)
     # Start of the read under way, on ``Clocks.boottime``; None if there is none.
     _read_since_seconds: float | None = attrs.field(default=None, init=False)
-    _patience: AdaptiveTimeout = attrs.field(
+    _hedge_delay: AdaptiveTimeout = attrs.field(
         factory=lambda: AdaptiveTimeout(
-            shortest_seconds=SHORTEST_PATIENCE_SECONDS,
-            longest_seconds=LONGEST_PATIENCE_SECONDS,
+            shortest_seconds=SHORTEST_HEDGE_DELAY_SECONDS,
+            longest_seconds=LONGEST_HEDGE_DELAY_SECONDS,
         ),
         init=False,
     )
     _size_bytes: int = attrs.field(default=0, init=False)
-    # What the latest read told, and the version of the store that it told of. A feed
-    # tells later changes only, so that what is noted between reads does not count.
+    # The closures that reads have told, without those noted by `note_closed`, and the
+    # version of the store from which the feed is to be continued.
     _read_closed_data_centres: frozenset = attrs.field(default=frozenset(), init=False)
-    _known_version: int = attrs.field(default=0, init=False)
+    _feed_version: int = attrs.field(default=0, init=False)
     # Start of a feed request without changes, and the version that it told.
     _unchanged_at: tuple | None = attrs.field(default=None, init=False)
     # (time of replacement, configuration), oldest first.
@@ -83,7 +83,7 @@
         if not self._is_answered or self._read_since_seconds is None:
             return self._is_answered
         waited_seconds = self.clocks.boottime() - self._read_since_seconds
-        return waited_seconds <= self._patience.seconds
+        return waited_seconds <= self._hedge_delay.seconds
 
     def age_seconds(self):
         """Return the time since the last confirming read began."""
@@ -135,7 +135,7 @@
         if isinstance(outcome, Done):
             self._apply_read(outcome.value, started_at_seconds, is_whole=is_whole)
             if outcome.value.size_bytes <= WHOLE_READ_LIMIT_BYTES:
-                self._patience.note_answer(read_seconds)
+                self._hedge_delay.note_answer(read_seconds)
         self._note_confirmed(read_seconds)
         return isinstance(outcome, Done)
 
@@ -144,13 +144,13 @@
         if self._size_bytes > WHOLE_READ_LIMIT_BYTES:
             follow = functools.partial(
                 self.operators.follow,
-                after_version=self._known_version,
+                after_version=self._feed_version,
                 closed_data_centres=self._read_closed_data_centres,
             )
             outcome = await self._hedge(follow)
             if not isinstance(outcome, Refused) or outcome.code != HISTORY_LOST:
                 return False, outcome
-            log_event("feed", outcome="history_lost", version=self._known_version)
+            log_event("feed", outcome="history_lost", version=self._feed_version)
         return True, await self._hedge(self.operators.read)
 
     async def _hedge(self, read):
@@ -163,7 +163,7 @@
 
         return await hedge(
             read_and_note,
-            delay_seconds=self._patience.seconds,
+            delay_seconds=self._hedge_delay.seconds,
             limit_seconds=READ_LIMIT_SECONDS,
         )
 
@@ -174,7 +174,7 @@
         self._confirmed_at_seconds = max(
             self._confirmed_at_seconds, confirmed_at_seconds
         )
-        self._known_version = self._find_known_version(read, started_at_seconds)
+        self._feed_version = self._find_feed_version(read, started_at_seconds)
         self._read_closed_data_centres = read.closed_data_centres
         self.store_version = max(self.store_version, read.store_version)
         self._size_bytes = read.size_bytes or self._size_bytes
@@ -182,7 +182,7 @@
             self.apply(read.policy)
         self._set_closed_data_centres(read.closed_data_centres)
 
-    def _find_known_version(self, read, started_at_seconds):
+    def _find_feed_version(self, read, started_at_seconds):
         """Return the version from which the feed is to be continued.
 
         A feed that told no changes may have been silent about some up to its version,
@@ -193,10 +193,10 @@
             return read.store_version
         if self._unchanged_at is None:
             self._unchanged_at = started_at_seconds, read.store_version
-            return self._known_version
+            return self._feed_version
         since_seconds, version = self._unchanged_at
         if started_at_seconds < since_seconds + FEED_LAG_SECONDS:
-            return self._known_version
+            return self._feed_version
         self._unchanged_at = started_at_seconds, read.store_version
         return version
 
