--- a/kingcuptrack/transport/http_client.py
+++ b/kingcuptrack/transport/http_client.py
@@ -108,12 +108,15 @@
                     if note_begun is not None:
                         note_begun()
 
+                is_watched = timeout_seconds > silence_seconds or note_begun
                 response = await pool.request(
                     method,
                     parsed_url,
                     headers={**self._headers, **headers} if headers else self._headers,
                     content=content,
-                    extensions=_make_extensions(silence_seconds, extend_deadline),
+                    extensions=_make_extensions(
+                        silence_seconds, extend_deadline if is_watched else None
+                    ),
                 )
         except NOT_SENT_ERRORS as error:
             return Refused(code="unreachable", message=f"{method} {url}: {error!r}")
@@ -165,21 +168,23 @@
             await pool.aclose()
 
 
-def _make_extensions(silence_seconds, note_begun):
+def _make_extensions(silence_seconds, note_begun=None):
     """Return the options of httpcore for one request."""
-
-    async def trace(event, _):
-        if event == "http11.receive_response_headers.complete":
-            note_begun()
-
-    return {
+    extensions = {
         "timeout": {
             "connect": CONNECT_FRACTION * silence_seconds,
             "pool": CONNECT_FRACTION * silence_seconds,
             "read": silence_seconds,
-        },
-        "trace": trace,
+        }
     }
+    if note_begun is not None:
+
+        async def trace(event, _):
+            if event == "http11.receive_response_headers.complete":
+                note_begun()
+
+        extensions["trace"] = trace
+    return extensions
 
 
 def decode_body(response, parse):
