--- a/emulator/rows.py
+++ b/emulator/rows.py
@@ -35,7 +35,8 @@
     transaction that is not answered within its timeout is still applied at the end of
     its delay. ``silent_calls`` holds the calls (``read``, ``follow``) that get no
     answer, ``silent_tables`` the tables whose changes are neither applied nor answered,
-    ``silent_feed_tables`` the tables whose feed tells no changes, without an error.
+    ``silent_feed_tables`` the tables whose feed tells no changes, without an error, and
+    with ``is_silent_feed_advancing`` a version that is newer than these changes.
     """
 
     down: str = ""
@@ -46,6 +47,7 @@
     silent_calls: set = attrs.field(factory=set)
     silent_tables: set = attrs.field(factory=set)
     silent_feed_tables: set = attrs.field(factory=set)
+    is_silent_feed_advancing: bool = False
 
 
 class RowStore:
@@ -198,7 +200,9 @@
         if after_version < self._oldest_kept_version:
             return Refused(code=HISTORY_LOST)
         if table in self.faults.silent_feed_tables:
-            return Done(value=RowsRead(rows=(), version=after_version))
+            is_advancing = self.faults.is_silent_feed_advancing
+            version = self.version if is_advancing else after_version
+            return Done(value=RowsRead(rows=(), version=version))
         rows = [
             row
             for row in self._history
--- a/kingcuptrack/coordination/admissions.py
+++ b/kingcuptrack/coordination/admissions.py
@@ -466,18 +466,20 @@
         there is no job to show.
         """
         rows = _row_range(progress_key(self._shard, job_id))
-        send, receive = anyio.create_memory_object_stream(1)
+        outcome = None
 
         async def read_progress():
-            send.send_nowait(await self._read_once(rows, deadline_seconds))
+            nonlocal outcome
+            outcome = await self._read_once(rows, deadline_seconds)
 
-        async with send, receive, anyio.create_task_group() as task_group:
+        async with anyio.create_task_group() as task_group:
             task_group.start_soon(read_progress)
             found = await self._find_job(caller, job_id, deadline_seconds)
-            if not isinstance(found, Done) or found.value[0] is None:
+            is_shown = isinstance(found, Done) and found.value[0] is not None
+            if not is_shown:
                 task_group.cancel_scope.cancel()
-                return found, None
-            outcome = await receive.receive()
+        if not is_shown:
+            return found, None
         if not isinstance(outcome, Done):
             outcome = await self._read_again(rows, deadline_seconds, outcome)
         return found, self._take_row(outcome)
--- a/tests/test_policy_watch.py
+++ b/tests/test_policy_watch.py
@@ -123,6 +123,24 @@
     check.assertFalse(any(play_cluster(play)))
 
 
+def test_change_in_the_silence_of_a_feed_is_told_after_it():
+    """Guards against a feed that is continued from a version of its silence."""
+
+    async def play(cluster):
+        set_large_policy(cluster, 2)
+        await anyio.sleep(4.0)
+        faults = cluster.store.faults
+        faults.silent_feed_tables.add(POLICY_KEY.table)
+        faults.is_silent_feed_advancing = True
+        set_large_policy(cluster, 3, key="key-2")
+        await anyio.sleep(FEED_LAG_SECONDS)
+        faults.silent_feed_tables.clear()
+        await anyio.sleep(REVOCATION_SECONDS - FEED_LAG_SECONDS)
+        return [is_authorised(member) for member in cluster.members]
+
+    check.assertFalse(any(play_cluster(play)))
+
+
 def test_lost_history_leads_to_a_read_of_the_whole_configuration():
     """Guards against a change that is missed since the feed no longer has it."""
 
