Refuse reads soon at instances that do not reach the store

Change: a caller's read is repeated only while the store counts as reachable. The new test takes 2.7 s without it.

--- a/kingcuptrack/coordination/admissions.py
+++ b/kingcuptrack/coordination/admissions.py
@@ -572,7 +572,8 @@
 
     async def _read_again(self, rows, deadline_seconds, outcome):
         """Repeat a read that failed with an outcome, unless no time is left."""
-        if self._clocks.steady() + READ_RETRY_SECONDS >= deadline_seconds:
+        is_late = self._clocks.steady() + READ_RETRY_SECONDS >= deadline_seconds
+        if is_late or not self._policy_watch.is_reachable:
             return outcome
         await anyio.sleep(READ_RETRY_SECONDS)
         return await self._read_once(rows, deadline_seconds)
@@ -585,7 +586,10 @@
             # An answer that has begun may arrive for longer than its timeout.
             with anyio.move_on_after(limit_seconds):
                 return await hedge(
-                    read, delay_seconds=HEDGE_DELAY_SECONDS, limit_seconds=limit_seconds
+                    read,
+                    delay_seconds=HEDGE_DELAY_SECONDS,
+                    limit_seconds=limit_seconds,
+                    may_repeat=lambda: self._policy_watch.is_reachable,
                 )
         return Unknown(message="no answer while the caller waited")
 
--- a/kingcuptrack/coordination/hedging.py
+++ b/kingcuptrack/coordination/hedging.py
@@ -11,14 +11,14 @@
 
 import anyio
 
-from ..outcomes import Done
+from ..outcomes import Done, Unknown
 
 # Attempts that wait at the same time; a further one replaces the oldest. Bounds the
 # load on a store that is slow.
 ATTEMPTS_LIMIT_COUNT = 4
 
 
-async def hedge(read, *, delay_seconds, limit_seconds):
+async def hedge(read, *, delay_seconds, limit_seconds, may_repeat=lambda: True):
     """Return the outcome of a read, which must not have any effect.
 
     Parameters
@@ -31,6 +31,8 @@
         begun to arrive: a repetition would only slow down a large one.
     limit_seconds : float
         Time after which attempts end that are still without any answer.
+    may_repeat : callable, optional
+        Is called before each repetition; the read ends as Unknown if it returns False.
 
     Returns
     -------
@@ -57,6 +59,9 @@
     async with send, receive, anyio.create_task_group() as task_group:
         outcome = None
         while not isinstance(outcome, Done):
+            if waiting and not begun and not may_repeat():
+                outcome = Unknown(message="no answer, and no repetition")
+                break
             remaining_seconds = deadline_seconds - anyio.current_time()
             is_late = remaining_seconds < delay_seconds / 2
             if not waiting or not (begun or is_late):
--- a/tests/test_callers_reads.py
+++ b/tests/test_callers_reads.py
@@ -26,6 +26,8 @@
 # The time that callers wait, less the way of the answer.
 ANSWER_LIMIT_SECONDS = 2.7
 REFUSAL_LIMIT_SECONDS = 0.3
+# Time after which an instance knows that it does not reach the store.
+CUT_SECONDS = 2.0
 # A gang that is larger than all workers together.
 WAITING_STEP = make_step(tasks=1000, gpus=4, is_gang=True)
 DOWN = Refused(code=BUSY, message="status 503")
@@ -195,6 +197,27 @@
     check.assertLessEqual(sum(reads.counts.values()), 3 * JOBS_COUNT + 2)
 
 
+def test_an_instance_without_the_store_refuses_states_soon():
+    """Guards against callers held at an instance that is cut off until they give up."""
+
+    async def run(cluster):
+        member = cluster.members[0]
+        caller = await submit_job(
+            member, cluster, JOB_ID(1), WAITING_STEP, run_seconds=1.0
+        )
+        cluster.store.faults.cut_callers.add(member.name)
+        await anyio.sleep(CUT_SECONDS)
+        began_at_seconds = anyio.current_time()
+        outcome = await member.instance.admissions.read_state(
+            caller, JOB_ID(1), timeout_seconds=ANSWER_LIMIT_SECONDS
+        )
+        return outcome, anyio.current_time() - began_at_seconds
+
+    outcome, seconds = play_cluster(run)
+    check.assertIsInstance(outcome, Refused)
+    check.assertLessEqual(seconds, 1.0)
+
+
 def test_a_state_is_refused_before_the_callers_deadline():
     """Guards against answers after the caller has given up."""
     answers, _ = play_gets(seconds=2.0, deadline_ms=1000)
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -15,7 +15,7 @@
 BUSY = Refused(code="busy")
 
 
-def play_hedge(attempts, *, limit_seconds=LIMIT_SECONDS):
+def play_hedge(attempts, *, limit_seconds=LIMIT_SECONDS, **options):
     """Hedge a read; returns the outcome, its time, and the starts of the attempts.
 
     The attempts are (seconds until the answer begins, seconds until its end, outcome),
@@ -42,7 +42,10 @@
         nonlocal began_at_seconds
         began_at_seconds = anyio.current_time()
         outcome = await hedge(
-            read, delay_seconds=DELAY_SECONDS, limit_seconds=limit_seconds
+            read,
+            delay_seconds=DELAY_SECONDS,
+            limit_seconds=limit_seconds,
+            **options,
         )
         check.assertEqual(open_counts[-1], 0)
         check.assertLessEqual(max(open_counts), ATTEMPTS_LIMIT_COUNT)
@@ -97,3 +100,10 @@
     outcome, seconds, _ = play_hedge([SILENT])
     check.assertIsInstance(outcome, Unknown)
     check.assertEqual(seconds, LIMIT_SECONDS)
+
+
+def test_a_read_that_may_not_be_repeated_ends():
+    """Guards against callers held back while the store is known to be unreachable."""
+    outcome, seconds, starts_seconds = play_hedge([SILENT], may_repeat=lambda: False)
+    check.assertIsInstance(outcome, Unknown)
+    check.assertEqual((seconds, starts_seconds), (DELAY_SECONDS, [0.0]))
