Show tasks that last and lie idle on sound workers

Cause: two failures of different jobs close a worker for 8 s, and only an end that is done clears them, which a task that lasts never has.

--- a/review/stand_ins_2/worker.py
+++ b/review/stand_ins_2/worker.py
@@ -6,7 +6,9 @@
 ``capacity``, ``store``, ``record`` and ``heartbeat_ms``. The worker first writes its
 entry to the store and then begins to serve. ``spec`` of a job is JSON with ``seconds``,
 the time that a task works, or null if it works until it is stopped, and optionally
-``fails``, the number of its first runs that end as failed. There are no gangs.
+``fails``, the number of its first runs that end as failed. ``lives`` are the times
+after which the runs of a task without an end fail, one for each run. There are no
+gangs.
 """
 
 import asyncio
@@ -120,11 +122,14 @@
             return self.refuse("old")
         work = json.loads(body["spec"])
         now = time.monotonic()
-        seconds = work["seconds"]
+        seconds = life = work["seconds"]
+        has_failure = number <= work.get("fails", 0)
+        if number <= len(work.get("lives", ())):
+            life, has_failure = work["lives"][number - 1], True
         self.running[task, number] = {
             "began": now,
-            "end_at": None if seconds is None else now + seconds,
-            "how": "failed" if number <= work.get("fails", 0) else "done",
+            "end_at": None if life is None else now + life,
+            "how": "failed" if has_failure else "done",
             "seconds": seconds,
             "stop_at": None,
         }
