Order the cases of the second review, without one that is known

Cause: review/5 shows already that a worker back under its id gets tasks by its earlier kind; the case of the SIGHUP met an old request by chance, and stopped one of two machines.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""A machine that is being stopped gets a SIGHUP while it still answers requests."""
+"""Open connections to the store go silent; a job is cancelled in the calm after it."""
 
 import asyncio
 import json
@@ -12,138 +12,124 @@
 
 from deployment import (  # noqa: E402
     BOUNDS,
-    HOST,
-    KEY,
-    QUEUE,
+    IP,
     CannotRunError,
+    free_ports,
     make_configuration,
     run_case,
+    wait_until,
 )
 
-# Configurations come as on the users' sheet: one each 0.06 s for 1.5 s.
-STORM_GAP_SECONDS = 0.06
-STORM_SECONDS = 1.5
-TERM_AFTER_SECONDS = 0.2
-HANGUP_AFTER_SECONDS = 0.7
-# Time within which a request has to be answered; clients wait for 3 s.
-DEADLINE_SECONDS = 3.0
-# Clients hand jobs in one after the other while the configurations come.
-CLIENTS_COUNT = 6
-CLIENT_GAP_SECONDS = 0.08
-INSTANCES_COUNT = 2
-ROUNDS_COUNT = 7
-SLACK_SECONDS = BOUNDS["loss_slack_ms"] / 1000
-STEP = {"count": 1, "gpu": 1, "cpu": 1000, "mem_mb": 1000, "estimate_ms": 1000}
-
-
-async def send_configurations(deployment, first_version):
-    """Write one configuration after the other, each a little different."""
-    end = time.monotonic() + STORM_SECONDS
-    version = first_version
-    while time.monotonic() < end:
-        sent_at = time.monotonic()
-        configuration = make_configuration(version)
-        configuration["routes"][0]["target_latency_ms"] = 1000 + version
-        await deployment.configure(configuration)
-        version += 1
-        await asyncio.sleep(max(0.0, sent_at + STORM_GAP_SECONDS - time.monotonic()))
-
-
-async def hand_in(deployment, name, address):
-    """Send a submission on a connection of its own.
-
-    Returns (seconds from its last byte to the end, status or None).
-    """
-    ip, _, port = address.rpartition(":")
-    try:
-        reader, writer = await asyncio.open_connection(ip, int(port))
-    except OSError as error:
-        deployment.note("client", f"POST {QUEUE}{name}: {error!r}, nothing was sent")
-        return 0.0, None
-    body = json.dumps({"spec": json.dumps({"seconds": 0.5}), "steps": [STEP]})
-    head = (
-        f"POST {QUEUE}{name} HTTP/1.1\r\nHost: {HOST}\r\nX-Api-Key: {KEY}\r\n"
-        f"Deadline-Ms: {round(DEADLINE_SECONDS * 1000)}\r\n"
-        f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
-    )
-    writer.write((head + body).encode())
-    await writer.drain()
-    sent_at = time.monotonic()
-    status = None
-    try:
-        line = await asyncio.wait_for(reader.readline(), DEADLINE_SECONDS)
-        status = int(line.split()[1]) if line else None
-    except OSError as error:
-        deployment.note("client", f"POST {QUEUE}{name}: {error!r}")
-    except TimeoutError:
-        status = 0
-    seconds = time.monotonic() - sent_at
-    writer.close()
-    text = {None: "the connection ended without an answer", 0: "no answer yet"}
-    result = text.get(status, f"answered with {status}")
-    deployment.note("client", f"POST {QUEUE}{name}: {result} after {seconds:.3f} s")
-    return seconds, status
-
-
-async def play_round(deployment, number, has_trouble):
-    """Stop one instance while configurations come; returns what was broken."""
-    instance = deployment.instances[number % INSTANCES_COUNT]
-    name = instance["front"]
-    storm = asyncio.create_task(send_configurations(deployment, 2 + 100 * number))
-    requests = []
-
-    async def begin_requests():
-        for client in range(CLIENTS_COUNT):
-            job_id = f"00000000000{number:02x}1{client:02x}"
-            task = hand_in(deployment, job_id, instance["front"])
-            requests.append(asyncio.create_task(task))
-            await asyncio.sleep(CLIENT_GAP_SECONDS)
-
-    clients = asyncio.create_task(begin_requests())
-    await asyncio.sleep(TERM_AFTER_SECONDS)
-    instance["process"].send_signal(signal.SIGTERM)
-    deployment.note("platform", f"SIGTERM to {name}")
-    await asyncio.sleep(HANGUP_AFTER_SECONDS - TERM_AFTER_SECONDS)
-    if has_trouble:
-        instance["settings"].write_text(instance["settings"].read_text() + "\n")
-        instance["process"].send_signal(signal.SIGHUP)
-        deployment.note("platform", f"SIGHUP to {name}")
-    await clients
-    results = await asyncio.gather(*requests)
-    await storm
-    end = time.monotonic() + BOUNDS["grace_s"]
-    while instance["process"].poll() is None:
-        if time.monotonic() > end:
-            raise CannotRunError("the process has not ended within grace_s")
-        await asyncio.sleep(0.05)
-    status = instance["process"].poll()
-    deployment.note("platform", f"the process of {name} ended with {status}")
-    return [
-        f"LOST: a request that was read had no answer when its connection ended "
-        f"{seconds:.2f} s after its last byte; the process ended with {status}"
-        for seconds, answer in results
-        if answer is None and seconds > SLACK_SECONDS
-    ]
+WORKERS_COUNT = 4
+CANCELLED = "00000000000000c1"
+OTHER = "00000000000000c2"
+# Handed in right after the connections went silent, and in the calm after that.
+EARLY = [f"00000000000000d{number}" for number in range(3)]
+URGENT = "00000000000000e0"
+STABLE_SECONDS = BOUNDS["stable_window_ms"] / 1000
+STOP_SECONDS = (BOUNDS["cancel_ms"] + BOUNDS["stop_timeout_ms"]) / 1000
+RECLAIM_SECONDS = BOUNDS["reclaim_ms"] / 1000
+PENDING_SECONDS = BOUNDS["visible_ms"] / 1000 + 2.0
+# Granted beyond each bound for the time that a stand-in takes.
+MARGIN_SECONDS = 0.1
+STEP = {"count": 1, "gpu": 1, "cpu": 1000, "mem_mb": 1000, "estimate_ms": 30000}
 
 
-async def case(deployment, has_trouble):
-    """Run the case; returns what was broken."""
+def make_job(seconds):
+    """Return a job of one task."""
+    return {"spec": json.dumps({"seconds": seconds}), "steps": [STEP]}
+
+
+async def start_all(deployment):
+    """Start the stand-ins and two instances, each with a proxy before the store."""
     await deployment.start_store()
-    for number in range(2):
+    await deployment.configure(make_configuration(2, priority=0))
+    for number in range(WORKERS_COUNT):
         deployment.start_worker(f"w{number}")
-    for number in range(INSTANCES_COUNT):
-        await deployment.start_instance(number)
+    proxies = []
+    for number, port in enumerate(free_ports(2)):
+        words = (IP, str(port), deployment.store)
+        proxies.append(deployment.spawn_stand_in("proxy.py", *words))
+        await deployment.start_instance(number, store=f"{IP}:{port}")
     await deployment.wait_ready()
+    return proxies
+
+
+async def ask_pending(deployment, accepted_at, until):
+    """Ask both instances for the count of waiting jobs; returns what is wrong."""
+    broken = []
+    while time.time() < until:
+        await asyncio.sleep(0.1)
+        for number in range(2):
+            asked_at = time.time()
+            status, answer = await deployment.request("GET", "", number=number)
+            begun = {name for name in accepted_at if deployment.starts(name)}
+            waiting_count = sum(
+                asked_at - at > PENDING_SECONDS + MARGIN_SECONDS
+                for name, at in accepted_at.items()
+                if name not in begun
+            )
+            if status == 200 and answer["pending"] < waiting_count / 2:
+                broken.append(
+                    f"MIXED: pending is {answer['pending']}; {waiting_count} jobs were "
+                    f"accepted over {PENDING_SECONDS} s before and have not begun"
+                )
+    return broken
+
+
+async def wait_for(deployment, find, name):
+    """Wait for a line of the record; returns its time."""
+
+    async def is_found():
+        return find(name)
+
+    return (await wait_until(is_found, f"{find.__name__} of {name}", seconds=20))[0][0]
+
+
+async def case(deployment, has_trouble):
+    """Run the case; returns what was broken."""
+    proxies = await start_all(deployment)
     await asyncio.sleep(4.0)
-    for number in range(ROUNDS_COUNT):
-        broken = await play_round(deployment, number, has_trouble)
-        if broken:
-            return broken
-        deployment.begin_process(deployment.instances[number % INSTANCES_COUNT])
-        await deployment.wait_ready()
-        # The pages' excuses reach 1 s beyond grace_s.
-        await asyncio.sleep(4.0)
-    return []
+    await deployment.submit(CANCELLED, make_job(60.0))
+    await wait_for(deployment, deployment.starts, CANCELLED)
+    await asyncio.sleep(1.0)
+    await deployment.submit(OTHER, make_job(60.0))
+    await asyncio.sleep(0.05)
+    silent_at = time.time()
+    if has_trouble:
+        for proxy in proxies:
+            proxy.send_signal(signal.SIGUSR1)
+        deployment.note("case", "the open connections to the store are silent")
+    accepted_at = {}
+    for name in EARLY:
+        status, _ = await deployment.request("POST", name, make_job(1.0))
+        if status == 200:
+            accepted_at[name] = time.time()
+    # From here on, machines are in touch and no disruption is near.
+    await asyncio.sleep(silent_at + STABLE_SECONDS + 0.05 - time.time())
+    deployment.note("case", "3 s without a disruption have passed")
+    status, _ = await deployment.request("DELETE", CANCELLED)
+    cancelled_at = time.time()
+    if status != 200:
+        raise CannotRunError(f"the cancel was answered with {status}")
+    await deployment.submit(URGENT, make_job(1.0))
+    urgent_at = time.time()
+    broken = await ask_pending(deployment, accepted_at, silent_at + 8.0)
+    stop_seconds = await wait_for(deployment, deployment.ends, CANCELLED) - cancelled_at
+    start_seconds = await wait_for(deployment, deployment.starts, URGENT) - urgent_at
+    deployment.note("case", f"{CANCELLED} ended {stop_seconds:.2f} s after its cancel")
+    deployment.note("case", f"{URGENT} began {start_seconds:.2f} s after its answer")
+    if stop_seconds > STOP_SECONDS + MARGIN_SECONDS:
+        broken.append(
+            f"UNASKED: a task ran on for {stop_seconds:.2f} s after the cancel of its "
+            f"job; {STOP_SECONDS} s are allowed"
+        )
+    if start_seconds > RECLAIM_SECONDS + MARGIN_SECONDS:
+        broken.append(
+            f"RECLAIM: a job within the guarantee began after {start_seconds:.2f} s; "
+            f"{RECLAIM_SECONDS} s are allowed"
+        )
+    return broken
 
 
 if __name__ == "__main__":
