--- a/review/stand_ins_3/worker.py
+++ b/review/stand_ins_3/worker.py
@@ -7,7 +7,8 @@
 ``kind``, ``rack``, ``lease_ms``. The ``spec`` of a job is a JSON object whose ``ms`` is
 the run time of its tasks; without it they last until they are stopped. Run N of a task
 fails after the N-th item of ``fails_ms``, if there is one. Steps of gangs are not known
-here, so that jobs must not have any.
+here, so that jobs must not have any. With ``PUT /stand-in/slow``, what begins from then
+on takes ``x`` times as long.
 """
 
 import asyncio
@@ -41,6 +42,7 @@
         self.ended = []
         self.number = 0
         self.state = "ready"
+        self.slow_factor = 1.0
         self.changed = asyncio.Event()
 
     def clock_ms(self):
@@ -91,7 +93,7 @@
             "run": run,
             "saved": body.get("checkpoint", ""),
             "at": time.monotonic(),
-            "seconds": None if ms is None else ms / 1000,
+            "seconds": None if ms is None else self.slow_factor * ms / 1000,
             "lasts": "ms" not in spec,
             "stop_at": None,
             "how": "failed" if is_failing else "done",
@@ -153,6 +155,9 @@
 
     async def handle(self, method, path, query, headers, body):
         """Answer a call."""
+        if path == "/stand-in/slow":
+            self.slow_factor = body["x"]
+            return 200, {}
         if headers.get("target-instance") != self.options["id"]:
             return 421, {"clock_ms": self.clock_ms()}
         self.advance()
