review: reserve the ports of the scripts against each other

Cause: one run of case 13 without the disruption exited with 2 beside two other scripts, its output was not kept; ports that two scripts had chosen at once are suspected.

A port is reserved by a UDP socket of the same number, below the ephemeral range.

--- a/review/stand_ins_3/deployment.py
+++ b/review/stand_ins_3/deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 import secrets
 import shutil
 import signal
@@ -20,6 +21,8 @@
 HOST = "studio.example"
 KEY = "key-1"
 IP = "127.0.0.1"
+# Below the ephemeral range of Linux, so that no outgoing connection takes a port.
+PORT_RANGE = range(12000, 32000)
 READY_SECONDS = 20.0
 BOUNDS = {
     "stable_window_ms": 3000,
@@ -42,6 +45,9 @@
 }
 
 
+_reservations = []
+
+
 class CannotRunError(Exception):
     """The case could not be run."""
 
@@ -73,10 +79,22 @@
 
 
 def find_port():
-    """Return a port that is free at present."""
-    with socket.socket() as probe:
-        probe.bind((IP, 0))
-        return probe.getsockname()[1]
+    """Return a free port, reserved against other scripts until this process ends.
+
+    The reservation is a UDP socket at the same number, since the TCP port stays free.
+    """
+    while True:
+        port = random.choice(PORT_RANGE)
+        reservation = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            reservation.bind((IP, port))
+            with socket.socket() as probe:
+                probe.bind((IP, port))
+        except OSError:
+            reservation.close()
+            continue
+        _reservations.append(reservation)
+        return port
 
 
 class Deployment:
