Keep correlations instead of covariances in the estimate of speeds

Cause, first of four layers: the filter that divides run times between steps and workers kept covariances beside variances that other steps, drift, new lives and restarts change, and applied its gain as a share of the variance where the covariance with the other quantity counts too. The covariance exceeded the root of the product of the variances, so that the variance of an innovation fell below 0 and its root raised. Where it did not raise, factors were worse.

Change: the correlation is kept, which any change of a variance weakens; the variances after an observation are sums of terms that are not negative. An estimate that starts afresh is a new object, to which no correlation belongs. A gang of whose members one is known is an observation of that member; it raised KeyError before.

--- a/kingcuptrack/state/cluster/speed_fit.py
+++ b/kingcuptrack/state/cluster/speed_fit.py
@@ -2,8 +2,10 @@
 
 The logarithm of the run time of a task is taken as the sum of the run time of its step
 on an average worker, an effect of its worker, and noise of the task. Both are estimated
-together by a Kalman filter with a diagonal covariance: an observation changes that more
-which is less certain. The effect of a worker has a lasting part and one that decays.
+together by a Kalman filter: an observation changes that more which is less certain. The
+effect of a worker has a lasting part and one that decays. Of the covariances, only
+those between a step and the lasting parts of its workers are kept, as correlations:
+given the run time of their step, workers are taken as independent of each other.
 """
 
 import math
@@ -37,17 +39,24 @@
 BOUND_TOLERANCE = 0.5
 # Limits of the logarithm of a factor; deployments differ by a factor of 3.
 LOG_LIMIT = math.log(4.0)
+# Weaker correlations are dropped, so that the ends of wide steps cost little.
+NEGLIGIBLE_CORRELATION = 0.05
 
 
 @attrs.define(kw_only=True, eq=False)
 class WorkerEstimate:
-    """Speed of a worker in its current life, as logarithms."""
+    """Speed of a worker in its current life, as logarithms.
+
+    ``correlation_log`` is the logarithm of the factor by which all changes of
+    ``level_variance`` so far have weakened correlations with the lasting part.
+    """
 
     service: str
     kind: tuple
     life: int
     level: float = 0.0
     level_variance: float = LEVEL_PRIOR_VARIANCE
+    correlation_log: float = 0.0
     temporary: float = 0.0
     temporary_variance: float = TEMPORARY_VARIANCE
     updated_at_seconds: float = 0.0
@@ -75,29 +84,46 @@
         self.temporary_variance += (1 - kept * kept) * (
             TEMPORARY_VARIANCE - self.temporary_variance
         )
-        self.level_variance = min(
-            LEVEL_PRIOR_VARIANCE,
-            self.level_variance + passed_seconds * LEVEL_VARIANCE_PER_SECOND,
+        self._set_level_variance(
+            min(
+                LEVEL_PRIOR_VARIANCE,
+                self.level_variance + passed_seconds * LEVEL_VARIANCE_PER_SECOND,
+            )
         )
         self.updated_at_seconds = max(self.updated_at_seconds, now_seconds)
 
-    def restart(self, level):
-        """Forget all observations."""
-        self.level, self.level_variance = level, LEVEL_PRIOR_VARIANCE
-        self.temporary, self.temporary_variance = 0.0, TEMPORARY_VARIANCE
-        self.observations_count = 0
+    def make_unobserved(self, level):
+        """Return the estimate of the same worker without its observations."""
+        return WorkerEstimate(
+            service=self.service,
+            kind=self.kind,
+            life=self.life,
+            level=level,
+            updated_at_seconds=self.updated_at_seconds,
+            is_progress_trusted=self.is_progress_trusted,
+            cold_until_seconds=self.cold_until_seconds,
+        )
+
+    def move_level(self, change, variance):
+        """Change the lasting part by new evidence, which leaves a variance."""
+        self.level = max(-LOG_LIMIT, min(LOG_LIMIT, self.level + change))
+        self._set_level_variance(variance)
 
-    def observe(self, innovation, total_variance, gain):
-        """Apply the worker's part of an innovation; ``gain`` is that of the level."""
-        innovation = limited(innovation, total_variance)
-        self.observations_count += 1
-        self.level += gain * innovation
-        self.level = max(-LOG_LIMIT, min(LOG_LIMIT, self.level))
-        self.level_variance *= 1 - max(0.0, gain)
-        gain = self.temporary_variance / total_variance
+    def observe_temporary(self, innovation, total_variance, weight=1.0):
+        """Apply an innovation to the temporary part."""
+        gain = weight * self.temporary_variance / total_variance
         self.temporary += gain * innovation
         self.temporary_variance *= 1 - gain
 
+    def _set_level_variance(self, variance):
+        """Set the variance, and weaken the correlations accordingly.
+
+        Evidence from elsewhere keeps the regression of a step on the lasting part, and
+        drift keeps their covariance.
+        """
+        self.correlation_log -= 0.5 * abs(math.log(variance / self.level_variance))
+        self.level_variance = variance
+
     def observe_member(self, innovation, other_variance, share):
         """Apply the worker's part of the innovation of a gang.
 
@@ -111,12 +137,16 @@
         innovation = limited(innovation, total_variance)
         self.observations_count += 1
         gain = weight * self.level_variance / total_variance
-        self.level += gain * innovation
-        self.level = max(-LOG_LIMIT, min(LOG_LIMIT, self.level))
-        self.level_variance *= 1 - gain
-        gain = weight * self.temporary_variance / total_variance
-        self.temporary += gain * innovation
-        self.temporary_variance *= 1 - gain
+        self.move_level(gain * innovation, (1 - gain) * self.level_variance)
+        self.observe_temporary(innovation, total_variance, weight)
+
+
+@attrs.frozen(kw_only=True)
+class _Correlation:
+    """Correlation at the time when its worker had a ``correlation_log``."""
+
+    value: float
+    correlation_log: float
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -124,8 +154,7 @@
     """Logarithm of the run time of a step's tasks on an average worker, in seconds.
 
     ``weight`` is the share of its changes that its queue takes over, ``log_estimate``
-    the logarithm of the estimate, None without one. ``covariances`` are those with the
-    lasting parts of the workers of its runs, by worker id.
+    the logarithm of the estimate, None without one.
     """
 
     mean: float
@@ -133,7 +162,84 @@
     weight: float
     log_estimate: float | None
     is_observed: bool = False
-    covariances: dict = attrs.field(factory=dict)
+    # Correlations with the lasting parts of the workers of its runs, by their estimate.
+    _correlations: dict = attrs.field(factory=dict, init=False)
+
+    def correlation(self, estimate):
+        """Return the correlation with the lasting part of a worker, from -1 to 1."""
+        kept = self._correlations.get(estimate)
+        if kept is None:
+            return 0.0
+        return kept.value * math.exp(estimate.correlation_log - kept.correlation_log)
+
+    def correct(self, change, variance):
+        """Change the mean by new evidence, which leaves a variance.
+
+        Earlier runs of the step are judged anew: if it takes longer than it seemed,
+        their workers are not as slow as it seemed. They do not become better known,
+        since correlations between workers, which other steps would need, are not kept.
+        """
+        kept_deviation = math.sqrt(variance / self.variance)
+        for estimate in list(self._correlations):
+            correlation = self.correlation(estimate)
+            slope = correlation * math.sqrt(estimate.level_variance / self.variance)
+            estimate.move_level(slope * change, estimate.level_variance)
+            self._keep_correlation(estimate, correlation * kept_deviation)
+        self.mean += change
+        self.variance = variance
+
+    def observe(self, estimate, innovation, noise):
+        """Divide an innovation between the step and one worker.
+
+        Parameters
+        ----------
+        estimate : WorkerEstimate
+        innovation : float
+            Observed logarithm of the run time, less the expected one.
+        noise : float
+            Variance of the observation.
+
+        Returns
+        -------
+        float
+            Variance of the innovation.
+        """
+        step_variance, level_variance = self.variance, estimate.level_variance
+        correlation = self.correlation(estimate)
+        self._correlations.pop(estimate, None)
+        covariance = correlation * math.sqrt(step_variance * level_variance)
+        other_variance = estimate.temporary_variance + noise
+        total_variance = step_variance + level_variance + 2 * covariance
+        total_variance = max(0.0, total_variance) + other_variance
+        # The variances that are left are sums of terms that are not negative, unlike
+        # in the usual form of the filter.
+        determinant = (1 - correlation * correlation) * step_variance * level_variance
+        step_rest = determinant + step_variance * other_variance
+        level_rest = determinant + level_variance * other_variance
+        innovation = limited(innovation, total_variance)
+        self.correct(
+            (step_variance + covariance) / total_variance * innovation,
+            step_rest / total_variance,
+        )
+        estimate.observations_count += 1
+        estimate.move_level(
+            (level_variance + covariance) / total_variance * innovation,
+            level_rest / total_variance,
+        )
+        estimate.observe_temporary(innovation, total_variance)
+        rest = covariance * other_variance - determinant
+        self._keep_correlation(estimate, rest / math.sqrt(step_rest * level_rest))
+        return total_variance
+
+    def _keep_correlation(self, estimate, value):
+        if abs(value) < NEGLIGIBLE_CORRELATION:
+            self._correlations.pop(estimate, None)
+            return
+        self._correlations[estimate] = _Correlation(
+            # Rounding may exceed the range.
+            value=max(-1.0, min(1.0, value)),
+            correlation_log=estimate.correlation_log,
+        )
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -178,13 +284,20 @@
             mean=mean, variance=variance, weight=weight, log_estimate=log_estimate
         )
 
-    def correct(self, step, innovation, total_variance, gain):
-        """Apply the step's part of an innovation to the step and to the queue."""
-        other_variance = total_variance - step.variance
-        observed = step.mean + innovation
-        before = step.mean
-        step.mean += gain * limited(innovation, total_variance)
-        step.variance *= 1 - gain
+    def learn(self, step, *, before, innovation, other_variance):
+        """Take over the change of a step by a run.
+
+        Parameters
+        ----------
+        step : StepTime
+            The step, already corrected.
+        before : float
+            Its mean before.
+        innovation : float
+        other_variance : float
+            Variance of the innovation without that of the step.
+        """
+        observed = before + innovation
         for predictor, offset in (
             (self.seconds, 0.0),
             (self.ratio, step.log_estimate),
--- a/kingcuptrack/state/cluster/worker_speeds.py
+++ b/kingcuptrack/state/cluster/worker_speeds.py
@@ -236,8 +236,10 @@
             return
         if abs(log - projected_log) <= FALSE_PROGRESS_LOG:
             return
-        estimate.restart(self._kind_level(estimate.service, estimate.kind))
-        estimate.is_progress_trusted = False
+        level = self._kind_level(estimate.service, estimate.kind)
+        unobserved = estimate.make_unobserved(level)
+        unobserved.is_progress_trusted = False
+        self.estimates[observation.worker_id] = unobserved
         self._steps.pop(observation.step_key, None)
 
     def _observe(self, observation, log, noise, now_seconds):
@@ -263,42 +265,18 @@
         target = log - step.mean + self._centres.get(observation.service, 0.0)
         if _is_straggler(observation, step, target - estimates[0].log):
             return
+        before, step_variance = step.mean, step.variance
         if len(estimates) == 1:
-            self._observe_single(queue, step, observation, target, noise)
-            return
-        shares = slowest_shares(estimates, target, step.variance + noise)
-        innovation = variance = 0.0
-        for share, estimate in zip(shares, estimates, strict=True):
-            own = target - estimate.log
-            innovation += share * own
-            variance += share * estimate.variance
-            estimate.observe_member(own, step.variance + noise, share)
-        total_variance = variance + step.variance + noise
-        queue.correct(step, innovation, total_variance, step.variance / total_variance)
-
-    def _observe_single(self, queue, step, observation, target, noise):
-        """Divide a run time between a step and one worker.
-
-        Earlier runs of the step are judged anew: if this one shows that the step takes
-        longer, their workers are not as slow as it seemed.
-        """
-        worker_id = observation.worker_id
-        estimate = self.estimates[worker_id]
-        innovation = target - estimate.log
-        covariances = step.covariances
-        covariance = covariances.get(worker_id, 0.0)
-        total_variance = estimate.variance + step.variance + 2 * covariance + noise
-        step_gain = (step.variance + covariance) / total_variance
-        limited_innovation = limited(innovation, total_variance)
-        for other_id, other_covariance in covariances.items():
-            if other_id in self.estimates and other_id != worker_id:
-                other = self.estimates[other_id]
-                other.level += other_covariance / total_variance * limited_innovation
-            covariances[other_id] = other_covariance * (1 - step_gain)
-        gain = (estimate.level_variance + covariance) / total_variance
-        covariances[worker_id] = covariance - gain * (step.variance + covariance)
-        estimate.observe(innovation, total_variance, gain)
-        queue.correct(step, innovation, total_variance, step_gain)
+            innovation = target - estimates[0].log
+            total_variance = step.observe(estimates[0], innovation, noise)
+        else:
+            innovation, total_variance = _observe_gang(step, estimates, target, noise)
+        queue.learn(
+            step,
+            before=before,
+            innovation=innovation,
+            other_variance=total_variance - step_variance,
+        )
 
     def _find_step(self, observation, log):
         queue = self._queues.setdefault(observation.queue, QueueTime())
@@ -381,6 +359,24 @@
     return rows
 
 
+def _observe_gang(step, estimates, target, noise):
+    """Divide a run time between a step and the members of a gang.
+
+    Returns the innovation of the step and its variance.
+    """
+    shares = slowest_shares(estimates, target, step.variance + noise)
+    innovation = variance = 0.0
+    for share, estimate in zip(shares, estimates, strict=True):
+        own = target - estimate.log
+        innovation += share * own
+        variance += share * estimate.variance
+        estimate.observe_member(own, step.variance + noise, share)
+    total_variance = variance + step.variance + noise
+    gain = step.variance / total_variance
+    step.correct(gain * limited(innovation, total_variance), (1 - gain) * step.variance)
+    return innovation, total_variance
+
+
 def _is_straggler(observation, step, innovation):
     """Return whether a run is far slower than its worker and its peers explain."""
     return (
