Make changes of the state before estimates, whose errors change nothing

The run was detached and its end not recorded; further ends of the same report were not applied.

Cause, second of four layers: estimates were made in the middle of the changes of ShardState, after the run was removed and before its end was recorded.

Change: each change is recorded first, what it teaches comes last. All estimates are called by one guard, which keeps errors until they are logged (estimate/failed) and counted; a plain value takes the place of the estimate. The computation of factors, the search for runs to move, the rows of what was learned and the log of finished jobs cannot end a term any more either. describe_error moves to a module that lower layers can import.

--- a/kingcuptrack/coordination/decision_log.py
+++ b/kingcuptrack/coordination/decision_log.py
@@ -98,6 +98,17 @@
     )
 
 
+def log_estimate_failure(failure):
+    """Log that an estimate raised errors, so that something else took its place."""
+    log_event(
+        "estimate",
+        outcome="failed",
+        name=failure.name,
+        count=failure.count,
+        reason=failure.reason,
+    )
+
+
 def log_pair(finding):
     """Log that a pair of interfering kinds was learned or dropped."""
     log_event(
--- a/kingcuptrack/coordination/job_feed.py
+++ b/kingcuptrack/coordination/job_feed.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from ..errors import describe_error
 from ..logs import log_event
 from ..outcomes import Done, Refused
 from ..state.jobs.progress_parts import restore_progress
@@ -16,7 +17,6 @@
     parse_progress_key,
     read_table,
 )
-from .supervision import describe_error
 
 # Timeout of reads of whole tables, which can have some megabytes.
 READ_TIMEOUT_SECONDS = 2.0
--- a/kingcuptrack/coordination/leadership.py
+++ b/kingcuptrack/coordination/leadership.py
@@ -11,6 +11,7 @@
 import anyio
 import attrs
 
+from ..errors import describe_error
 from ..logs import log_event
 from ..outcomes import Done, Refused
 from ..state.jobs.records import (
@@ -22,7 +23,6 @@
 from .commits import TRANSACTION_TIMEOUT_SECONDS, CommitChain, LeadershipLostError
 from .ports import CONFLICT, Transaction
 from .rows import leadership_key
-from .supervision import describe_error
 
 # Interval between reads of the row; several must fit into TAKEOVER_SECONDS.
 WATCH_INTERVAL_SECONDS = 0.25
--- a/kingcuptrack/coordination/learned_rows.py
+++ b/kingcuptrack/coordination/learned_rows.py
@@ -90,8 +90,8 @@
             last_seconds = self._written_at_seconds.get(subject.name, float("-inf"))
             if now_seconds - last_seconds < WRITE_INTERVAL_SECONDS:
                 continue
-            data = subject.encode()
             self._written_at_seconds[subject.name] = now_seconds
+            data = subject.encode()
             if data == self._written.get(subject.name) or len(data) > ROW_LIMIT_BYTES:
                 continue
             self._written[subject.name] = data
--- a/kingcuptrack/coordination/scheduler.py
+++ b/kingcuptrack/coordination/scheduler.py
@@ -27,6 +27,7 @@
 from .decision_log import (
     DecisionLog,
     log_crash,
+    log_estimate_failure,
     log_pair,
     log_placement,
     log_speed,
@@ -364,6 +365,11 @@
                 is_cause_known = bool(finding.given_up)
                 self._metrics.count_worker_crash(is_cause_known=is_cause_known)
 
+    def _report_estimate_failures(self):
+        for failure in self.shard_state.estimates.take_failures():
+            log_estimate_failure(failure)
+            self._metrics.count_estimate_failures(failure.name, failure.count)
+
     def _log_pairs(self):
         for finding in self.shard_state.take_pair_findings():
             log_pair(finding)
@@ -459,6 +465,7 @@
 
     async def _commit_once(self):
         """Plan and commit; without changes, commit only if a renewal is due."""
+        self._report_estimate_failures()
         is_plan_due = self._plan_timing.is_due(self.clocks.steady())
         claims = self._plan() if is_plan_due else []
         batch = self._make_batch(claims)
@@ -509,7 +516,9 @@
         """Return the due rows that can be missing; too large ones are logged."""
         rows = {
             **count_rows,
-            **self._learned_rows.changed_rows(now_seconds),
+            **self.shard_state.estimates.call(
+                self._learned_rows.changed_rows, now_seconds, default={}
+            ),
             **self._load_view_writer.due_rows(now_seconds),
         }
         limit_bytes = self.store.limits.row_bytes
@@ -677,8 +686,11 @@
         for run in find_runs_past_departure(self.shard_state, now_seconds=now_seconds):
             reason = "the worker leaves before the run can end"
             self._stop(run, reason, StopCause.DEPARTURE)
-        move = find_move(
-            self.shard_state, self._planning_policy(), now_seconds=now_seconds
+        move = self.shard_state.estimates.call(
+            find_move,
+            self.shard_state,
+            self._planning_policy(),
+            now_seconds=now_seconds,
         )
         if move is not None:
             self.shard_state.record_move(move[0], now_seconds=now_seconds)
@@ -686,8 +698,8 @@
 
     def _show_slow_workers(self, now_seconds):
         speeds = self.shard_state.worker_speeds
-        for worker_id, factor, is_slow in speeds.take_changed_workers(
-            now_seconds=now_seconds
+        for worker_id, factor, is_slow in self.shard_state.estimates.call(
+            speeds.take_changed_workers, now_seconds=now_seconds, default=()
         ):
             log_speed(worker_id, factor, is_slow=is_slow)
         self._metrics.set_slow_workers(len(speeds.slow_worker_ids))
@@ -708,7 +720,9 @@
         for job_id in batch.job_ids:
             job = self.shard_state.jobs[job_id]
             if job.progress.is_final and job_id not in self.shard_state.unstored:
-                self._job_log.note_final_state(job, now_seconds=now_seconds)
+                self.shard_state.estimates.call(
+                    self._job_log.note_final_state, job, now_seconds=now_seconds
+                )
         self.shard_state.unstored.note_removed(batch.removed_parts)
         if batch.expired_job_id:
             self.shard_state.forget_finished_job(batch.expired_job_id)
--- a/kingcuptrack/prometheus_metrics.py
+++ b/kingcuptrack/prometheus_metrics.py
@@ -58,6 +58,12 @@
             ["outcome"],
             registry=self._registry,
         )
+        self._estimate_failures = Counter(
+            "kingcuptrack_estimate_failures",
+            "Estimates of the scheduler that raised an error, by name",
+            ["name"],
+            registry=self._registry,
+        )
         self._refusals = Counter(
             "kingcuptrack_overload_refusals",
             "Jobs refused for lack of capacity, by reason",
@@ -147,6 +153,10 @@
         outcome = "learned" if is_learned else "dropped"
         self._interference_findings.labels(outcome).inc()
 
+    def count_estimate_failures(self, name, count):
+        """Count the errors that an estimate raised."""
+        self._estimate_failures.labels(name).inc(count)
+
     def count_denied_commit(self):
         """Count a commit that the store will never accept."""
         self._denied_commits.inc()
--- a/kingcuptrack/state/cluster/shard_state.py
+++ b/kingcuptrack/state/cluster/shard_state.py
@@ -1,7 +1,8 @@
 """The scheduler's view of the jobs, runs and workers of a shard.
 
 Events are method calls that carry the time; this module does no I/O. Every run that
-may exist at a worker occupies its capacity until the end of the run is certain.
+may exist at a worker occupies its capacity until the end of the run is certain. What
+only estimates or explains follows a change and cannot fail it.
 """
 
 import attrs
@@ -16,6 +17,7 @@
 from ..jobs.progress_parts import is_divided
 from ..jobs.steps import GUARANTEED_PRIORITY, NO_RESOURCES, TaskRef
 from .crashes import SURVIVAL_SECONDS, CrashAttribution
+from .estimate_guard import EstimateGuard
 from .interference import Interference
 from .job_phases import make_past_run
 from .neighbours import NeighbourTimes
@@ -26,7 +28,7 @@
 from .run_times import RunTimes
 from .shard_entities import FinishedJob, Job, Run, RunPhase, Worker
 from .unstored_progress import UnstoredProgress
-from .worker_speeds import WorkerSpeeds
+from .worker_speeds import EMPTY_VIEW, WorkerSpeeds
 
 # How many times as long a task takes outside its rack, if the settings give no value.
 # All known deployments have this factor.
@@ -69,6 +71,8 @@
             worker_speeds=self.worker_speeds,
             interference=self.interference,
         )
+        # All calls of what only estimates or explains.
+        self.estimates = EstimateGuard()
         # Time of day at which the newest job was accepted.
         self.last_accepted_at_seconds = float("-inf")
         # Workers whose room was made for a starving unit.
@@ -332,10 +336,28 @@
         key = run.ref.occurrence, run.ref.step
         return self.jobs[run.ref.job_id].moves.get(key, 0)
 
+    def expect_task_seconds(self, queue, estimate_seconds):
+        """Return the expected run time of a task of a queue on an average worker.
+
+        It is the estimate of the caller if nothing can be learned from earlier runs.
+        """
+        return self.estimates.call(
+            self.run_times.expect_seconds,
+            queue,
+            estimate_seconds,
+            default=estimate_seconds,
+        )
+
+    def speed_view(self, now_seconds):
+        """Return the `SpeedView`; without factors if it cannot be computed."""
+        return self.estimates.call(
+            self.worker_speeds.view, now_seconds=now_seconds, default=EMPTY_VIEW
+        )
+
     def expected_seconds(self, run):
         """Return the expected run time of a run, from its start to its end."""
         queue = self.jobs[run.ref.job_id].submission.queue
-        seconds = self.run_times.expect_seconds(queue, run.estimate_seconds)
+        seconds = self.expect_task_seconds(queue, run.estimate_seconds)
         seconds *= run.slowdown
         return seconds * self.remote_factor if run.is_remote else seconds
 
@@ -391,7 +413,9 @@
             worker.last_entry = worker.entry or worker.last_entry
             _update_departure(worker, now_seconds)
             if worker.entry is not None:
-                self.worker_speeds.note_entry(worker.entry, now_seconds=now_seconds)
+                self.estimates.call(
+                    self.worker_speeds.note_entry, worker.entry, now_seconds=now_seconds
+                )
         gone = [
             worker_id
             for worker_id, worker in self.workers.items()
@@ -401,7 +425,7 @@
         ]
         for worker_id in gone:
             del self.workers[worker_id]
-            self.worker_speeds.forget_worker(worker_id)
+            self.estimates.call(self.worker_speeds.forget_worker, worker_id)
 
     def apply_report(self, worker_id, report):
         """Apply the answer of a worker to a poll.
@@ -429,7 +453,8 @@
         worker.is_replaced = False
         worker.answered_at_seconds = report.received_at_seconds
         if worker.last_entry is not None:
-            self.worker_speeds.note_life(
+            self.estimates.call(
+                self.worker_speeds.note_life,
                 worker.last_entry,
                 report.reported_life or report.life,
                 now_seconds=report.received_at_seconds,
@@ -546,7 +571,9 @@
         job.runs[run.key] = run
         self._count_run(worker, job, run, 1)
         if self.neighbours is not None:
-            self.neighbours.attach(run, now_seconds=run.claimed_at_seconds)
+            self.estimates.call(
+                self.neighbours.attach, run, now_seconds=run.claimed_at_seconds
+            )
 
     def _detach(self, run, *, now_seconds):
         """Remove a run; returns the shares of its neighbours, or None if it is gone."""
@@ -560,7 +587,9 @@
         self.placement_changes_count += 1
         if self.neighbours is None:
             return {}
-        return self.neighbours.detach(run, now_seconds=now_seconds)
+        return self.estimates.call(
+            self.neighbours.detach, run, now_seconds=now_seconds, default={}
+        )
 
     def _count_run(self, worker, job, run, change):
         """Update the kept figures for a run that was attached (1) or detached (-1)."""
@@ -632,8 +661,12 @@
         elif item.percent != run.percent:
             run.percent = item.percent
             run.percent_changed_at_seconds = now_seconds
-            job = self.jobs[run.ref.job_id]
-            self._learning.learn_progress(job, run, now_seconds=now_seconds)
+            self.estimates.call(
+                self._learning.learn_progress,
+                self.jobs[run.ref.job_id],
+                run,
+                now_seconds=now_seconds,
+            )
         if item.checkpoint and item.checkpoint != run.checkpoint:
             run.note_checkpoint(item.checkpoint, now_seconds=now_seconds)
             task = self.jobs[run.ref.job_id].progress.task(run.ref)
@@ -666,25 +699,12 @@
             return
         job = self.jobs[run.ref.job_id]
         step = job.submission.steps[run.ref.step]
-        if not step.is_long_running:
-            job.past_runs.append(
-                make_past_run(
-                    run,
-                    how=how,
-                    ended_at_seconds=now_seconds,
-                    expected_seconds=self.expected_seconds(run),
-                )
-            )
         if how == "failed":
             job.failed_worker_ids.add(run.worker_id)
         if how != "done" and not run.checkpoint and not step.is_long_running:
             self._count_lost_run(job, run, now_seconds)
         if how in ("done", "failed"):
             self._clear_suspicion(run, now_seconds=now_seconds)
-        if how == "done" and run.is_start_observed and not run.is_remote:
-            self._learning.learn_end(
-                job, run, neighbour_shares, now_seconds=now_seconds
-            )
         if record_open_run_end(job.progress, run.ref, run=run.number):
             self.unstored.mark_task(job, run.ref)
             self.unstored.drop_obsolete_parts(job, run.ref)
@@ -696,6 +716,30 @@
                 cause = run.stop_cause or how or "lapsed"
                 reason = "another member of the gang ended"
                 self.request_stop(other, reason, cause=str(cause))
+        self.estimates.call(
+            self._learn_from_end,
+            job,
+            run,
+            how=how,
+            neighbour_shares=neighbour_shares,
+            now_seconds=now_seconds,
+        )
+
+    def _learn_from_end(self, job, run, *, how, neighbour_shares, now_seconds):
+        """Keep when a run was, and learn from its whole run time if that is known."""
+        if not job.submission.steps[run.ref.step].is_long_running:
+            job.past_runs.append(
+                make_past_run(
+                    run,
+                    how=how,
+                    ended_at_seconds=now_seconds,
+                    expected_seconds=self.expected_seconds(run),
+                )
+            )
+        if how == "done" and run.is_start_observed and not run.is_remote:
+            self._learning.learn_end(
+                job, run, neighbour_shares, now_seconds=now_seconds
+            )
 
     def _note_gang_workers(self, run):
         """Keep the workers of a gang before its first member that is done is gone."""
--- a/kingcuptrack/state/planning/expectations.py
+++ b/kingcuptrack/state/planning/expectations.py
@@ -24,7 +24,7 @@
             key = queue, step.estimate_seconds
             seconds = self._seconds_by_key.get(key)
             if seconds is None:
-                seconds = self.shard_state.run_times.expect_seconds(*key)
+                seconds = self.shard_state.expect_task_seconds(*key)
                 self._seconds_by_key[key] = seconds
             return seconds
 
--- a/kingcuptrack/state/planning/load_view.py
+++ b/kingcuptrack/state/planning/load_view.py
@@ -313,7 +313,7 @@
             total += (
                 tasks_count
                 * step.resources.gpus_count
-                * shard_state.run_times.expect_seconds(
+                * shard_state.expect_task_seconds(
                     submission.queue, step.estimate_seconds
                 )
             )
--- a/kingcuptrack/state/planning/worker_choice.py
+++ b/kingcuptrack/state/planning/worker_choice.py
@@ -119,7 +119,7 @@
     """Return the `WorkerChoice` of a planning pass."""
     if not features.speeds:
         return NO_CHOICE
-    view = shard_state.worker_speeds.view(now_seconds=now_seconds)
+    view = shard_state.speed_view(now_seconds)
     classes = {
         worker_id: speed_class(factor)
         for worker_id, factor in view.factors.items()
--- a/tests/reference_planning.py
+++ b/tests/reference_planning.py
@@ -14,7 +14,11 @@
 from kingcuptrack.state.cluster.run_observations import kind_of
 from kingcuptrack.state.cluster.speed_fit import LOG_LIMIT
 from kingcuptrack.state.cluster.worker_speeds import COLD_FACTOR
-from kingcuptrack.state.jobs.steps import GUARANTEED_PRIORITY, NO_RESOURCES
+from kingcuptrack.state.jobs.steps import (
+    GUARANTEED_PRIORITY,
+    NO_RESOURCES,
+    TaskRef,
+)
 from kingcuptrack.state.planning.packing import Slot, is_eligible
 from kingcuptrack.state.planning.scheduling_units import find_ready_units
 from kingcuptrack.state.planning.stragglers import (
@@ -267,6 +271,7 @@
     assert kept_used == used_by_organisation, (kept_used, used_by_organisation)
     assert shard_state.other_gpus_count == other_gpus
     assert shard_state.busy_workers_count == len(used)
+    check_holders(shard_state)
     check_neighbours(shard_state)
     check_speeds(shard_state.worker_speeds, now_seconds)
     kept_units = find_ready_units(shard_state, wall_seconds=wall_seconds)
@@ -276,6 +281,57 @@
     assert _unit_keys(kept_units) == _unit_keys(units)
 
 
+def check_holders(shard_state):
+    """Check that each task that a worker holds has a run, and the other way round.
+
+    Raises
+    ------
+    AssertionError
+        A task is held without a run, or a run is known to its job or worker alone.
+    """
+    runs = {}
+    for job in shard_state.jobs.values():
+        held = _list_held(job)
+        missing = held.keys() - job.runs.keys()
+        assert not missing, f"held without a run: {missing}"
+        for key, run in job.runs.items():
+            holder = held.get(key)
+            assert holder in (None, run.worker_id), (key, holder, run.worker_id)
+            task = job.progress.task(run.ref)
+            is_newest = task is not None and task.last_run == run.number
+            assert holder or not is_newest or task.is_done, f"not held: {key}"
+            runs[run.worker_id, key] = run
+    at_workers = {
+        (worker_id, key): run
+        for worker_id, worker in shard_state.workers.items()
+        for key, run in worker.runs.items()
+    }
+    assert runs == at_workers, runs.keys() ^ at_workers.keys()
+
+
+def _list_held(job):
+    """Return the worker of each run that the progress of a job says may exist."""
+    held = {}
+    job_id = job.submission.job_id
+    for item in job.progress.open_runs.values():
+        ref = TaskRef(
+            job_id=job_id,
+            occurrence=item.occurrence,
+            step=item.step,
+            index=item.index,
+        )
+        held[ref, item.number] = item.worker_id
+    for occurrence, steps in job.progress.occurrences.items():
+        for number, step in enumerate(steps):
+            for index, task in enumerate(step.tasks):
+                if task.worker_id:
+                    ref = TaskRef(
+                        job_id=job_id, occurrence=occurrence, step=number, index=index
+                    )
+                    held[ref, task.last_run] = task.worker_id
+    return held
+
+
 def check_neighbours(shard_state):
     """Check the kept kinds of the runs of each worker against a count of all runs.
 
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -10,7 +10,8 @@
 from kingcuptrack.coordination.commits import LeadershipLostError
 from kingcuptrack.coordination.ports import Shard
 from kingcuptrack.coordination.rows import progress_key
-from kingcuptrack.coordination.supervision import describe_error, supervise
+from kingcuptrack.coordination.supervision import supervise
+from kingcuptrack.errors import describe_error
 from kingcuptrack.state.cluster.shard_state import ShardState
 from kingcuptrack.state.jobs.progress import JobState
 from kingcuptrack.state.planning.ordering import order_key
