Let ends of missing runs count, and recreate runs that are missing

Cause, third of four layers: where an error had left a task held by a worker without a run, nothing noticed it. The next report listed the same end again; it was dropped because the task still named a holder, and was acknowledged all the same, so that the worker forgot it.

Change: an end of the run that a held task names counts, although the run is missing. The scheduler looks at the tasks of all jobs in turn, 500 in 0.25 s, recreates missing runs as after a change of the leader, logs and counts them.

--- a/kingcuptrack/coordination/decision_log.py
+++ b/kingcuptrack/coordination/decision_log.py
@@ -109,6 +109,18 @@
     )
 
 
+def log_restored_run(run):
+    """Log that a task was held without a run, which was recreated."""
+    log_event(
+        "run",
+        outcome="restored",
+        task=str(run.ref),
+        run=run.number,
+        worker_id=run.worker_id,
+        reason="its task was held although no run was known",
+    )
+
+
 def log_pair(finding):
     """Log that a pair of interfering kinds was learned or dropped."""
     log_event(
--- a/kingcuptrack/coordination/scheduler.py
+++ b/kingcuptrack/coordination/scheduler.py
@@ -30,6 +30,7 @@
     log_estimate_failure,
     log_pair,
     log_placement,
+    log_restored_run,
     log_speed,
     log_stop,
 )
@@ -82,6 +83,10 @@
 LAPSE_CHECK_INTERVAL_SECONDS = 0.2
 # Interval between searches for runs that hang, are slow or whose worker leaves.
 RUN_CHECK_INTERVAL_SECONDS = 0.25
+# Interval between searches for tasks that are held without a run, and the tasks that
+# one search looks at, so that it takes less than a millisecond.
+MISSING_RUNS_INTERVAL_SECONDS = 0.25
+MISSING_RUNS_TASKS_COUNT = 500
 # Pause after a commit that the store has denied.
 DENIAL_PAUSE_SECONDS = 0.1
 # Fencing tokens of one epoch; a session raises its token to fence unanswered orders.
@@ -198,6 +203,7 @@
                 ("job_feed", self._job_feed.follow),
                 ("worker_list", self._follow_workers),
                 ("lapsed_runs", self._end_lapsed_runs),
+                ("missing_runs", self._restore_missing_runs),
                 ("withdrawals", self._withdrawal_cleaner.run),
             ):
                 task_group.start_soon(supervise, name, function)
@@ -268,6 +274,7 @@
                 end_number=end.number,
                 **(self._count_lost_work(run, end) if run is not None else {}),
             )
+        self._log_restored_runs()
         self._log_crashes()
         self._log_pairs()
         # Runs that the report has made superfluous are stopped at once.
@@ -370,6 +377,12 @@
             log_estimate_failure(failure)
             self._metrics.count_estimate_failures(failure.name, failure.count)
 
+    def _log_restored_runs(self):
+        for run in self.shard_state.take_restored_runs():
+            log_restored_run(run)
+            self._metrics.count_restored_run()
+            self._wake_session(run.worker_id)
+
     def _log_pairs(self):
         for finding in self.shard_state.take_pair_findings():
             log_pair(finding)
@@ -446,6 +459,15 @@
                 self._wake_stopping_sessions()
                 self._request_commit()
 
+    async def _restore_missing_runs(self):
+        while True:
+            await anyio.sleep(MISSING_RUNS_INTERVAL_SECONDS)
+            self.shard_state.restore_missing_runs(
+                tasks_limit_count=MISSING_RUNS_TASKS_COUNT,
+                now_seconds=self.clocks.steady(),
+            )
+            self._log_restored_runs()
+
     async def _commit_loop(self):
         # The first polls settle what runs, so that workers with runs come first.
         for session in sorted(
--- a/kingcuptrack/prometheus_metrics.py
+++ b/kingcuptrack/prometheus_metrics.py
@@ -64,6 +64,11 @@
             ["name"],
             registry=self._registry,
         )
+        self._restored_runs = Counter(
+            "kingcuptrack_restored_runs",
+            "Runs of held tasks that were not known any more and were recreated",
+            registry=self._registry,
+        )
         self._refusals = Counter(
             "kingcuptrack_overload_refusals",
             "Jobs refused for lack of capacity, by reason",
@@ -157,6 +162,10 @@
         """Count the errors that an estimate raised."""
         self._estimate_failures.labels(name).inc(count)
 
+    def count_restored_run(self):
+        """Count a run that was missing and was recreated."""
+        self._restored_runs.inc()
+
     def count_denied_commit(self):
         """Count a commit that the store will never accept."""
         self._denied_commits.inc()
--- a/kingcuptrack/state/cluster/shard_state.py
+++ b/kingcuptrack/state/cluster/shard_state.py
@@ -15,11 +15,12 @@
     update_state,
 )
 from ..jobs.progress_parts import is_divided
-from ..jobs.steps import GUARANTEED_PRIORITY, NO_RESOURCES, TaskRef
+from ..jobs.steps import GUARANTEED_PRIORITY, NO_RESOURCES
 from .crashes import SURVIVAL_SECONDS, CrashAttribution
 from .estimate_guard import EstimateGuard
 from .interference import Interference
 from .job_phases import make_past_run
+from .missing_runs import MissingRuns
 from .neighbours import NeighbourTimes
 from .recent_usage import RecentUsage
 from .room_holds import RoomHolds
@@ -73,6 +74,7 @@
         )
         # All calls of what only estimates or explains.
         self.estimates = EstimateGuard()
+        self._missing_runs = MissingRuns()
         # Time of day at which the newest job was accepted.
         self.last_accepted_at_seconds = float("-inf")
         # Workers whose room was made for a starving unit.
@@ -162,34 +164,39 @@
 
     def _restore_runs(self, job, *, now_seconds):
         """Recreate the runs in the stored progress; whether they exist is unsettled."""
-        for item in job.progress.open_runs.values():
-            ref = TaskRef(
-                job_id=job.submission.job_id,
-                occurrence=item.occurrence,
-                step=item.step,
-                index=item.index,
-            )
-            self._restore_run(job, ref, item.number, item.worker_id, now_seconds)
-        for occurrence, steps in job.progress.occurrences.items():
-            for step_number, step_progress in enumerate(steps):
-                for index, task in enumerate(step_progress.tasks):
-                    if not task.worker_id:
-                        continue
-                    ref = TaskRef(
-                        job_id=job.submission.job_id,
-                        occurrence=occurrence,
-                        step=step_number,
-                        index=index,
-                    )
-                    self._restore_run(
-                        job, ref, task.last_run, task.worker_id, now_seconds
-                    )
-
-    def _restore_run(self, job, ref, number, worker_id, now_seconds):
-        run = self._make_run(job, ref, number, worker_id)
+        for held in job.progress.list_held_runs():
+            self._restore_run(job, held, now_seconds=now_seconds)
+
+    def _restore_run(self, job, held, *, now_seconds):
+        ref, number = held.key(job.submission.job_id)
+        run = self._make_run(job, ref, number, held.worker_id)
         run.phase = RunPhase.UNSETTLED
         run.claimed_at_seconds = now_seconds
         self._attach(run)
+        return run
+
+    def restore_missing_runs(self, *, tasks_limit_count, now_seconds):
+        """Recreate runs that tasks say may exist and that are not known any more.
+
+        Only an error in a change of this state leaves such a task. Whether the run
+        exists is unsettled, as after a change of the leader.
+
+        Parameters
+        ----------
+        tasks_limit_count : int
+            Tasks to look at, and then up to the end of their job; the next call goes on
+            from there.
+        now_seconds : float
+        """
+        for job, held in self._missing_runs.find(
+            self.jobs, tasks_limit_count=tasks_limit_count
+        ):
+            run = self._restore_run(job, held, now_seconds=now_seconds)
+            self._missing_runs.note_restored(run)
+
+    def take_restored_runs(self):
+        """Return the runs that were missing and were recreated, once each."""
+        return self._missing_runs.take_restored()
 
     def cancel_job(self, job_id):
         """Cancel a job and stop its runs; returns whether that changed anything."""
@@ -618,6 +625,8 @@
 
     def _apply_end(self, worker, end, report):
         run = worker.runs.get((end.ref, end.run))
+        if run is None:
+            run = self._restore_ended_run(worker, end, report)
         if run is None:
             self._apply_stale_end(worker, end, report)
             return None
@@ -630,6 +639,22 @@
         )
         return run
 
+    def _restore_ended_run(self, worker, end, report):
+        """Recreate the run of an end if it is missing; returns None otherwise.
+
+        The worker forgets an end that was acknowledged, so that it must count now.
+        """
+        job = self.jobs.get(end.ref.job_id)
+        held = job.progress.held_run(end.ref) if job else None
+        if held is None or (held.worker_id, held.number) != (
+            worker.worker_id,
+            end.run,
+        ):
+            return None
+        run = self._restore_run(job, held, now_seconds=report.received_at_seconds)
+        self._missing_runs.note_restored(run)
+        return run
+
     def _apply_stale_end(self, worker, end, report):
         """Accept a late success of a removed run if no newer run was claimed."""
         job = self.jobs.get(end.ref.job_id)
--- a/kingcuptrack/state/jobs/progress.py
+++ b/kingcuptrack/state/jobs/progress.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from .steps import TaskRef
+
 
 class JobState(StrEnum):
     """State of a job as shown to callers."""
@@ -82,7 +84,7 @@
 
 @attrs.frozen(kw_only=True)
 class OpenRun:
-    """A run that may still exist although its job is final."""
+    """A run that may exist, by the progress of its job."""
 
     occurrence: int
     step: int
@@ -90,6 +92,13 @@
     number: int
     worker_id: str
 
+    def key(self, job_id):
+        """Return the key of the run: its task and its number."""
+        ref = TaskRef(
+            job_id=job_id, occurrence=self.occurrence, step=self.step, index=self.index
+        )
+        return ref, self.number
+
 
 @attrs.define(kw_only=True)
 class JobProgress:
@@ -130,11 +139,42 @@
         tasks = steps[ref.step].tasks
         return tasks[ref.index] if ref.index < len(tasks) else None
 
+    def held_run(self, ref):
+        """Return the `OpenRun` of a task, or None if no worker holds the task."""
+        open_run = self.open_runs.get((ref.occurrence, ref.step, ref.index))
+        task = self.task(ref)
+        if open_run is None and task is not None and task.worker_id:
+            return _make_open_run(ref.occurrence, ref.step, ref.index, task)
+        return open_run
+
+    def list_held_runs(self):
+        """Return an `OpenRun` for each run that may exist."""
+        return [
+            *self.open_runs.values(),
+            *(
+                _make_open_run(occurrence, number, index, task)
+                for occurrence, steps in self.occurrences.items()
+                for number, step in enumerate(steps)
+                for index, task in enumerate(step.tasks)
+                if task.worker_id
+            ),
+        ]
+
     def add_open_run(self, run):
         """Keep a run of a final job that has not ended."""
         self.open_runs[run.occurrence, run.step, run.index] = run
 
 
+def _make_open_run(occurrence, step, index, task):
+    return OpenRun(
+        occurrence=occurrence,
+        step=step,
+        index=index,
+        number=task.last_run,
+        worker_id=task.worker_id,
+    )
+
+
 def record_end(progress, submission, ref, *, run, how, checkpoint):
     """Apply the end of a run to the progress of its job.
 
@@ -211,28 +251,12 @@
     if progress.is_final:
         # The runs of a completed job have ended: the members of a gang end together.
         if progress.state != JobState.COMPLETED:
-            for run in _list_open_runs(progress):
+            for run in progress.list_held_runs():
                 progress.add_open_run(run)
         progress.occurrences.clear()
     return progress.state != before
 
 
-def _list_open_runs(progress):
-    return [
-        OpenRun(
-            occurrence=occurrence,
-            step=number,
-            index=index,
-            number=task.last_run,
-            worker_id=task.worker_id,
-        )
-        for occurrence, steps in progress.occurrences.items()
-        for number, step in enumerate(steps)
-        for index, task in enumerate(step.tasks)
-        if task.worker_id
-    ]
-
-
 def _has_exhausted_attempts(progress, submission, changed_ref):
     if changed_ref is None:
         steps = [step for steps in progress.occurrences.values() for step in steps]
--- a/tests/reference_planning.py
+++ b/tests/reference_planning.py
@@ -14,11 +14,7 @@
 from kingcuptrack.state.cluster.run_observations import kind_of
 from kingcuptrack.state.cluster.speed_fit import LOG_LIMIT
 from kingcuptrack.state.cluster.worker_speeds import COLD_FACTOR
-from kingcuptrack.state.jobs.steps import (
-    GUARANTEED_PRIORITY,
-    NO_RESOURCES,
-    TaskRef,
-)
+from kingcuptrack.state.jobs.steps import GUARANTEED_PRIORITY, NO_RESOURCES
 from kingcuptrack.state.planning.packing import Slot, is_eligible
 from kingcuptrack.state.planning.scheduling_units import find_ready_units
 from kingcuptrack.state.planning.stragglers import (
@@ -291,7 +287,10 @@
     """
     runs = {}
     for job in shard_state.jobs.values():
-        held = _list_held(job)
+        held = {
+            item.key(job.submission.job_id): item.worker_id
+            for item in job.progress.list_held_runs()
+        }
         missing = held.keys() - job.runs.keys()
         assert not missing, f"held without a run: {missing}"
         for key, run in job.runs.items():
@@ -309,29 +308,6 @@
     assert runs == at_workers, runs.keys() ^ at_workers.keys()
 
 
-def _list_held(job):
-    """Return the worker of each run that the progress of a job says may exist."""
-    held = {}
-    job_id = job.submission.job_id
-    for item in job.progress.open_runs.values():
-        ref = TaskRef(
-            job_id=job_id,
-            occurrence=item.occurrence,
-            step=item.step,
-            index=item.index,
-        )
-        held[ref, item.number] = item.worker_id
-    for occurrence, steps in job.progress.occurrences.items():
-        for number, step in enumerate(steps):
-            for index, task in enumerate(step.tasks):
-                if task.worker_id:
-                    ref = TaskRef(
-                        job_id=job_id, occurrence=occurrence, step=number, index=index
-                    )
-                    held[ref, task.last_run] = task.worker_id
-    return held
-
-
 def check_neighbours(shard_state):
     """Check the kept kinds of the runs of each worker against a count of all runs.
 
