Stop recreated runs of final jobs, and report errors of estimates at most 4 times a second

A missing run of a cancelled or failed job was recreated without a request to stop it; test_the_run_of_a_cancelled_job_is_restored checks it now and failed before. Errors of estimates were logged with each commit. A test repeats the report of a new life after an error in it: the restart counts once and the job ends, also without these changes.

--- a/kingcuptrack/coordination/scheduler.py
+++ b/kingcuptrack/coordination/scheduler.py
@@ -85,8 +85,8 @@
 RUN_CHECK_INTERVAL_SECONDS = 0.25
 # Interval between searches for tasks that are held without a run, and the tasks that
 # one search looks at, so that it takes less than a millisecond.
-MISSING_RUNS_INTERVAL_SECONDS = 0.25
-MISSING_RUNS_TASKS_COUNT = 500
+STATE_CHECK_INTERVAL_SECONDS = 0.25
+STATE_CHECK_TASKS_COUNT = 500
 # Pause after a commit that the store has denied.
 DENIAL_PAUSE_SECONDS = 0.1
 # Fencing tokens of one epoch; a session raises its token to fence unanswered orders.
@@ -203,7 +203,7 @@
                 ("job_feed", self._job_feed.follow),
                 ("worker_list", self._follow_workers),
                 ("lapsed_runs", self._end_lapsed_runs),
-                ("missing_runs", self._restore_missing_runs),
+                ("state_checks", self._check_state),
                 ("withdrawals", self._withdrawal_cleaner.run),
             ):
                 task_group.start_soon(supervise, name, function)
@@ -459,14 +459,17 @@
                 self._wake_stopping_sessions()
                 self._request_commit()
 
-    async def _restore_missing_runs(self):
+    async def _check_state(self):
+        """Recreate missing runs, and report errors of estimates."""
         while True:
-            await anyio.sleep(MISSING_RUNS_INTERVAL_SECONDS)
+            await anyio.sleep(STATE_CHECK_INTERVAL_SECONDS)
             self.shard_state.restore_missing_runs(
-                tasks_limit_count=MISSING_RUNS_TASKS_COUNT,
+                tasks_limit_count=STATE_CHECK_TASKS_COUNT,
                 now_seconds=self.clocks.steady(),
             )
             self._log_restored_runs()
+            self._wake_stopping_sessions()
+            self._report_estimate_failures()
 
     async def _commit_loop(self):
         # The first polls settle what runs, so that workers with runs come first.
@@ -487,7 +490,6 @@
 
     async def _commit_once(self):
         """Plan and commit; without changes, commit only if a renewal is due."""
-        self._report_estimate_failures()
         is_plan_due = self._plan_timing.is_due(self.clocks.steady())
         claims = self._plan() if is_plan_due else []
         batch = self._make_batch(claims)
--- a/kingcuptrack/state/cluster/shard_state.py
+++ b/kingcuptrack/state/cluster/shard_state.py
@@ -193,6 +193,8 @@
         ):
             run = self._restore_run(job, held, now_seconds=now_seconds)
             self._missing_runs.note_restored(run)
+            # A run of a cancelled or failed job has to be stopped.
+            self._update_job_state(job)
 
     def take_restored_runs(self):
         """Return the runs that were missing and were recreated, once each."""
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -84,7 +84,7 @@
         await anyio.sleep(3.0)
 
     for name, event in (
-        ("_restore_missing_runs", "task"),
+        ("_check_state", "task"),
         ("_commit_once", "leadership"),
     ):
         with mock.patch.object(Scheduler, name, side_effect=InjectedError):
--- a/tests/test_missing_runs.py
+++ b/tests/test_missing_runs.py
@@ -5,7 +5,7 @@
 import anyio
 
 from emulator.platform_service import NullObserver
-from kingcuptrack.coordination.scheduler import MISSING_RUNS_TASKS_COUNT
+from kingcuptrack.coordination.scheduler import STATE_CHECK_TASKS_COUNT
 from kingcuptrack.state.cluster.shard_entities import RunPhase
 from kingcuptrack.state.cluster.shard_state import ShardState
 from kingcuptrack.state.jobs.progress import EndKind, JobState
@@ -48,7 +48,7 @@
     """Restore missing runs as often as one look at every job takes; return them."""
     for _ in range(1 + len(shard_state.jobs)):
         shard_state.restore_missing_runs(
-            tasks_limit_count=MISSING_RUNS_TASKS_COUNT, now_seconds=2.0
+            tasks_limit_count=STATE_CHECK_TASKS_COUNT, now_seconds=2.0
         )
     return shard_state.take_restored_runs()
 
@@ -95,6 +95,7 @@
     (run,) = restore(shard_state)
     check_holders(shard_state)
     check.assertEqual(run.key, (make_ref("job"), 1))
+    check.assertTrue(run.is_stopping)
     ends = [(1, make_ref("job"), 1, "stopped")]
     shard_state.apply_report("w0", make_report(now_seconds=3.0, ended=ends))
     check.assertIsNone(shard_state.jobs["job"].progress.held_run(make_ref("job")))
@@ -122,9 +123,9 @@
 
 def test_every_job_is_looked_at_in_turn():
     """Guards against a missing run behind wide jobs, and a search that takes long."""
-    shard_state = lose_run(tasks_count=2 * MISSING_RUNS_TASKS_COUNT)
+    shard_state = lose_run(tasks_count=2 * STATE_CHECK_TASKS_COUNT)
     for number in range(20):
-        wide = make_step(tasks=MISSING_RUNS_TASKS_COUNT // 4)
+        wide = make_step(tasks=STATE_CHECK_TASKS_COUNT // 4)
         name = f"job-{number}"
         add_job(shard_state, name, wide)
         run = start_run(shard_state, name, "w1")
@@ -132,7 +133,7 @@
     counts = []
     while sum(counts) < 21:
         shard_state.restore_missing_runs(
-            tasks_limit_count=MISSING_RUNS_TASKS_COUNT, now_seconds=2.0
+            tasks_limit_count=STATE_CHECK_TASKS_COUNT, now_seconds=2.0
         )
         counts.append(len(shard_state.take_restored_runs()))
     # The first job takes a search, the others share searches.
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -11,6 +11,8 @@
 from kingcuptrack.coordination.sessions import ORDER_AGE_LIMIT_SECONDS, Session
 from kingcuptrack.outcomes import Done, Refused, Unknown
 from kingcuptrack.state.cluster.shard_entities import Run, RunPhase
+from kingcuptrack.state.cluster.shard_state import ShardState
+from kingcuptrack.state.jobs.progress import JobState
 
 from .caught_errors import no_caught_errors
 from .cluster_plays import play_cluster, submit_job
@@ -337,3 +339,34 @@
 
     with no_caught_errors():
         run_virtual(play)
+
+
+def test_a_report_of_a_new_life_counts_when_it_comes_again():
+    """Guards against a restart that is half noted after an error in its report."""
+    noted = []
+    apply_report = ShardState.apply_report
+
+    def fail_once(shard_state, worker_id, report):
+        if report.life > 1 and not noted:
+            noted.append(worker_id)
+            raise ValueError("injected")
+        return apply_report(shard_state, worker_id, report)
+
+    async def run(cluster):
+        member = cluster.members[0]
+        step = make_step(tasks=TASKS_COUNT, seconds=2.0)
+        job_id = f"{1:016x}"
+        caller = await submit_job(member, cluster, job_id, step, run_seconds=2.0)
+        await anyio.sleep(1.0)
+        worker = next(item for item in cluster.fleet.workers.values() if item.runs)
+        worker.crash()
+        worker.begin_life(worker.life + 1)
+        await anyio.sleep(12.0)
+        check.assertEqual(noted, [worker.entry.worker_id])
+        shard_state = cluster.leader().instance.candidate.scheduler.shard_state
+        check.assertEqual(shard_state.workers[worker.entry.worker_id].life, 2)
+        return (await member.instance.admissions.read_state(caller, job_id)).value
+
+    with mock.patch.object(ShardState, "apply_report", fail_once):
+        state = play_cluster(run, instances_count=2, allowed_errors=("task",))
+    check.assertEqual(state, JobState.COMPLETED)
