Play random faults with changes and estimates that fail now and then

Simulations with crashes, cuts and changes of the leader, in which one record of an end in twenty, or one call of each estimate in five, raises an error.

--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -73,6 +73,7 @@
     crashing_share=0.0,
     has_estimates=True,
     maximum=NO_RESOURCES,
+    allowed_errors=(),
     **cluster_options,
 ):
     """Run one simulation and return its `InvariantChecker`.
@@ -93,6 +94,8 @@
         Whether the steps of the jobs have estimates of their run times.
     maximum : Resources
         Limit of what the organisation of all jobs has running.
+    allowed_errors : sequence of str
+        Events of the unexpected errors that the test injects; others are violations.
     **cluster_options
         Further parameters of `Cluster`.
     """
@@ -113,7 +116,8 @@
                 cluster_options,
             )
     for error in errors:
-        checker.violations.append(f"ERROR: {error}")
+        if error.event not in allowed_errors:
+            checker.violations.append(f"ERROR: {error}")
     return checker
 
 
--- a/tests/test_failing_estimates.py
+++ b/tests/test_failing_estimates.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import itertools
+import random
 from unittest import mock
 
 import anyio
@@ -28,6 +29,7 @@
     make_step,
     start_run,
 )
+from .simulation import random_faults, run_simulation
 from .support import check, function_tests
 
 load_tests = function_tests(__name__)
@@ -62,13 +64,16 @@
 
 
 @contextlib.contextmanager
-def failing(owner, name, *, failures_count):
-    """Let the first calls of a function raise an error; yields a list of them."""
+def failing(owner, name, *, failures_count=float("inf"), is_failing=lambda: True):
+    """Let the first calls of a function raise an error; yields a list of them.
+
+    ``is_failing`` tells whether a call fails.
+    """
     function = getattr(owner, name)
     failures = []
 
     def call(*arguments, **keywords):
-        if len(failures) < failures_count:
+        if len(failures) < failures_count and is_failing():
             failures.append(name)
             raise EstimateError(name)
         return function(*arguments, **keywords)
@@ -223,10 +228,39 @@
         (LearnedRows, "changed_rows"),
     )
     for owner, name in places:
-        with failing(owner, name, failures_count=float("inf")) as failures:
+        with failing(owner, name) as failures:
             states, metrics = play_cluster(
                 run, allowed_errors=("estimate",), instances_count=2, rules=rules
             )
         check.assertEqual(states, [JobState.COMPLETED] * 4, name)
         is_counted = "kingcuptrack_estimate_failures_total{" in metrics
         check.assertEqual(is_counted, bool(failures), name)
+
+
+def test_estimates_fail_under_random_faults():
+    """Guards against rules that are broken when estimates fail now and then.
+
+    One call of each estimate in five fails, beside crashes, cuts and changes of the
+    leader; half of the plays have jobs without estimates.
+    """
+    rules = PlanRules(features=Features(speeds=True, interference=True))
+    for seed in range(500, 506):
+        rng = random.Random(seed)
+
+        def is_failing(rng=rng):
+            return rng.random() < 0.2
+
+        with contextlib.ExitStack() as stack:
+            for owner, name in PLACES:
+                # The full count of neighbours needs each of their changes.
+                if owner is not NeighbourTimes:
+                    stack.enter_context(failing(owner, name, is_failing=is_failing))
+            checker = run_simulation(
+                seed,
+                random_faults,
+                allowed_errors=("estimate",),
+                has_estimates=seed % 2 == 0,
+                rules=rules,
+                worker_factors=(0.6, 1.0, 1.6) * 4,
+            )
+        check.assertEqual(checker.violations, [], (seed, checker.log))
--- a/tests/test_missing_runs.py
+++ b/tests/test_missing_runs.py
@@ -1,5 +1,6 @@
 """Tasks that a worker holds without a run, as after an error in a change."""
 
+import random
 from unittest import mock
 
 import anyio
@@ -20,6 +21,7 @@
     make_step,
     start_run,
 )
+from .simulation import random_faults, run_simulation
 from .support import check, function_tests
 
 load_tests = function_tests(__name__)
@@ -206,3 +208,24 @@
         check.assertEqual(states, [JobState.COMPLETED] * 6, failures_count)
         check.assertEqual(set(starts.values()), {1}, failures_count)
         check.assertEqual(changes_count, 0)
+
+
+def test_torn_changes_under_random_faults():
+    """Guards against a repair that starts tasks twice, or loses jobs, under faults.
+
+    One record of an end in twenty fails, beside crashes, cuts and changes of leaders.
+    """
+    record_end = ShardState._record_end
+    for seed in range(500, 506):
+        rng = random.Random(seed)
+
+        def fail_sometimes(*arguments, rng=rng, **keywords):
+            if rng.random() < 0.05:
+                raise ChangeError("injected")
+            return record_end(*arguments, **keywords)
+
+        with mock.patch.object(ShardState, "_record_end", fail_sometimes):
+            checker = run_simulation(
+                seed, random_faults, allowed_errors=("task", "run", "leadership")
+            )
+        check.assertEqual(checker.violations, [], (seed, checker.log))
