Let stand-ins end requests whose clients have left

Its logs show ClientDisconnect in read_json_object: a caller gave up before the stand-in had read its body. The product answers that case itself; the stand-ins did not. Both use one application now, which does.

--- a/emulator/platform.py
+++ b/emulator/platform.py
@@ -14,14 +14,13 @@
 
 import attrs
 import defopt
-from starlette.applications import Starlette
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
 from .faults import Fault, FaultTable, make_fault_middleware
 from .service import (
     RequestError,
-    answer_request_error,
+    make_application,
     make_server,
     read_field,
     read_json_object,
@@ -315,9 +314,7 @@
         Route("/control/journal", read_journal, methods=["GET"]),
         Route("/control/statistics", read_statistics, methods=["GET"]),
     ]
-    app = Starlette(
-        routes=routes, exception_handlers={RequestError: answer_request_error}
-    )
+    app = make_application(routes)
 
     def consume_fault(scope):
         service = service_of(scope["path"])
--- a/emulator/service.py
+++ b/emulator/service.py
@@ -3,7 +3,9 @@
 import json
 
 import uvicorn
-from starlette.responses import JSONResponse
+from starlette.applications import Starlette
+from starlette.requests import ClientDisconnect
+from starlette.responses import JSONResponse, Response
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 GRACEFUL_STOP_SECONDS = 1
@@ -37,10 +39,27 @@
     )
 
 
+async def answer_disconnect(request, error):
+    """End a request whose client has left before its whole body was read."""
+    return Response(status_code=400)
+
+
+def make_application(routes):
+    """Return the application of a stand-in, with answers to failed requests."""
+    return Starlette(
+        routes=routes,
+        exception_handlers={
+            RequestError: answer_request_error,
+            ClientDisconnect: answer_disconnect,
+        },
+    )
+
+
 async def read_json_object(request):
     """Return the request body as a dict.
 
-    Raises `RequestError` 400 if the body is not a JSON object.
+    Raises `RequestError` 400 if the body is not a JSON object, and `ClientDisconnect`
+    if the client has left.
     """
     try:
         body = json.loads(await request.body())
--- a/emulator/workers.py
+++ b/emulator/workers.py
@@ -23,14 +23,13 @@
 import attrs
 import defopt
 import httpcore
-from starlette.applications import Starlette
 from starlette.responses import JSONResponse
 from starlette.routing import Route
 
 from .faults import Fault, FaultTable, make_fault_middleware
 from .service import (
     RequestError,
-    answer_request_error,
+    make_application,
     make_server,
     read_field,
     read_json_object,
@@ -398,9 +397,7 @@
         Route("/control/clear", clear_faults, methods=["POST"]),
         Route("/control/journal", read_journal, methods=["GET"]),
     ]
-    app = Starlette(
-        routes=routes, exception_handlers={RequestError: answer_request_error}
-    )
+    app = make_application(routes)
 
     def consume_fault(scope):
         parts = scope["path"].split("/")
